--- a/gentianplank/configuration/change_log.h
+++ b/gentianplank/configuration/change_log.h
@@ -7,7 +7,7 @@
 #pragma once
 
 #include "gentianplank/configuration/change.h"
-#include "gentianplank/platform/table_store.h"
+#include "gentianplank/store/table_store.h"
 
 #include <optional>
 #include <string>
--- a/gentianplank/daemon/daemon.h
+++ b/gentianplank/daemon/daemon.h
@@ -6,7 +6,7 @@
 //     (*daemon)->shutDown();
 #pragma once
 
-#include "gentianplank/platform/counting_table_store.h"
+#include "gentianplank/store/counting_table_store.h"
 #include "gentianplank/settings/settings.h"
 
 #include <tl/expected.hpp>
--- a/gentianplank/daemon/group_controller.h
+++ b/gentianplank/daemon/group_controller.h
@@ -8,7 +8,7 @@
 
 #include "gentianplank/daemon/control_loop.h"
 #include "gentianplank/daemon/fleet_boards.h"
-#include "gentianplank/platform/channel.h"
+#include "gentianplank/store/channel.h"
 #include "gentianplank/target/group_board.h"
 
 #include <memory>
--- a/gentianplank/daemon/peer_clients.h
+++ b/gentianplank/daemon/peer_clients.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "gentianplank/daemon/control_loop.h"
-#include "gentianplank/platform/channel.h"
+#include "gentianplank/store/channel.h"
 #include "gentianplank/proto/vm.pb.h"
 
 #include <functional>
--- a/gentianplank/daemon/rate_controller.h
+++ b/gentianplank/daemon/rate_controller.h
@@ -10,7 +10,7 @@
 #include "gentianplank/daemon/control_loop.h"
 #include "gentianplank/daemon/fleet_boards.h"
 #include "gentianplank/organisation/rate_gate.h"
-#include "gentianplank/platform/channel.h"
+#include "gentianplank/store/channel.h"
 #include "gentianplank/proto/vm.pb.h"
 
 #include <memory>
--- a/gentianplank/daemon/tls_test.cc
+++ b/gentianplank/daemon/tls_test.cc
@@ -1,5 +1,5 @@
 #include "gentianplank/daemon/testing/fleet_fixture.h"
-#include "gentianplank/platform/testing/test_authority.h"
+#include "gentianplank/store/testing/test_authority.h"
 
 #include <boost/log/core.hpp>
 #include <boost/log/utility/setup/console.hpp>
--- /dev/null
+++ b/gentianplank/http/http_listener.cc
@@ -0,0 +1,147 @@
+#include "gentianplank/http/http_listener.h"
+
+#include "gentianplank/base/time.h"
+#include "gentianplank/http/endpoint.h"
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace gentianplank {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+// The platform's prober and a collector of metrics need one connection each.
+constexpr int MostConnections = 32;
+// A prober asks each second, a collector every few seconds.
+constexpr Duration LongestSilence = std::chrono::seconds(30);
+constexpr uint64_t LargestRequestBody = 1024;
+
+} // namespace
+
+struct HttpListener::State : std::enable_shared_from_this<HttpListener::State>
+{
+    State(asio::io_context &context, std::string text, Handler answer)
+        : ioContext(context), address(std::move(text)), handler(std::move(answer)),
+          acceptor(context)
+    {
+    }
+
+    void accept();
+
+    asio::io_context &ioContext;
+    std::string address;
+    Handler handler;
+    asio::ip::tcp::acceptor acceptor;
+    int connections = 0;
+};
+
+namespace {
+
+template <typename State>
+struct ServedConnection : std::enable_shared_from_this<ServedConnection<State>>
+{
+    ServedConnection(std::shared_ptr<State> owner, asio::ip::tcp::socket socket)
+        : state(std::move(owner)), stream(std::move(socket))
+    {
+        ++state->connections;
+    }
+    ~ServedConnection() { --state->connections; }
+
+    void read()
+    {
+        parser.emplace();
+        parser->body_limit(LargestRequestBody);
+        stream.expires_after(LongestSilence);
+        http::async_read(stream, buffer, *parser,
+                         [self = this->shared_from_this()](beast::error_code ec, size_t) {
+                             if (!ec) {
+                                 self->answer();
+                             }
+                         });
+    }
+
+    void answer()
+    {
+        const auto &request = parser->get();
+        const std::string path(request.target());
+        const HttpAnswer result = state->handler(path);
+        response = {};
+        response.result(result.status);
+        response.version(11);
+        response.keep_alive(request.keep_alive());
+        response.set(http::field::content_type, result.contentType);
+        response.body() = result.body;
+        response.prepare_payload();
+        http::async_write(stream, response,
+                          [self = this->shared_from_this()](beast::error_code ec, size_t) {
+                              if (!ec && self->response.keep_alive()) {
+                                  self->read();
+                              }
+                          });
+    }
+
+    std::shared_ptr<State> state;
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    std::optional<http::request_parser<http::string_body>> parser;
+    http::response<http::string_body> response;
+};
+
+} // namespace
+
+void HttpListener::State::accept()
+{
+    acceptor.async_accept([self = shared_from_this()](beast::error_code ec,
+                                                      asio::ip::tcp::socket socket) {
+        if (ec == asio::error::operation_aborted) {
+            return;
+        }
+        if (!ec && self->connections < MostConnections) {
+            std::make_shared<ServedConnection<State>>(self, std::move(socket))->read();
+        }
+        self->accept();
+    });
+}
+
+HttpListener::HttpListener(asio::io_context &ioContext, std::string address, Handler handler)
+    : m_state(std::make_shared<State>(ioContext, std::move(address), std::move(handler)))
+{
+}
+
+HttpListener::~HttpListener()
+{
+    beast::error_code ec;
+    m_state->acceptor.close(ec);
+}
+
+std::optional<std::string> HttpListener::start()
+{
+    const auto endpoint = parseEndpoint(m_state->address);
+    if (!endpoint) {
+        return "'" + m_state->address + "' is not IP:PORT";
+    }
+    beast::error_code ec;
+    m_state->acceptor.open(endpoint->protocol(), ec);
+    m_state->acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+    m_state->acceptor.bind(*endpoint, ec);
+    if (!ec) {
+        m_state->acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    }
+    if (ec) {
+        return "cannot listen at " + m_state->address + ": " + ec.message();
+    }
+    m_state->accept();
+    return std::nullopt;
+}
+
+uint16_t HttpListener::port() const
+{
+    beast::error_code ec;
+    return m_state->acceptor.local_endpoint(ec).port();
+}
+
+} // namespace gentianplank
--- /dev/null
+++ b/gentianplank/http/http_test.cc
@@ -0,0 +1,71 @@
+#include "gentianplank/http/http_caller.h"
+#include "gentianplank/http/http_listener.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace gentianplank;
+using namespace std::chrono_literals;
+
+namespace {
+
+HttpResult callOnce(boost::asio::io_context &ioContext, HttpCaller &caller, const std::string &path)
+{
+    std::optional<HttpResult> result;
+    caller.call({.method = "GET", .target = path}, 2s, [&](HttpResult it) { result = it; });
+    ioContext.restart();
+    while (!result && ioContext.run_one_for(3s) != 0) {
+    }
+    BOOST_REQUIRE(result);
+    return *result;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(callsAndAnswersOverAKeptConnection)
+{
+    boost::asio::io_context ioContext;
+    HttpListener listener(ioContext, "127.0.0.1:0", [](std::string_view path) {
+        return HttpAnswer{path == "/a" ? 200U : 404U, std::string(path)};
+    });
+    BOOST_REQUIRE(!listener.start());
+    HttpCaller caller(ioContext, "127.0.0.1:" + std::to_string(listener.port()));
+    for (int i = 0; i < 3; ++i) {
+        const auto result = callOnce(ioContext, caller, "/a");
+        BOOST_REQUIRE(result);
+        BOOST_TEST(result->status == 200U);
+        BOOST_TEST(result->body == "/a");
+    }
+    BOOST_TEST(callOnce(ioContext, caller, "/b")->status == 404U);
+}
+
+BOOST_AUTO_TEST_CASE(aCallThatFindsNoServerWasNotSent)
+{
+    boost::asio::io_context ioContext;
+    HttpCaller caller(ioContext, "127.0.0.1:1");
+    const auto result = callOnce(ioContext, caller, "/a");
+    BOOST_REQUIRE(!result);
+    BOOST_TEST((result.error().fault == HttpFault::NotSent));
+}
+
+BOOST_AUTO_TEST_CASE(aServerThatStaysSilentLosesTheCall)
+{
+    boost::asio::io_context ioContext;
+    boost::asio::ip::tcp::acceptor silent(ioContext, {boost::asio::ip::tcp::v4(), 0});
+    HttpCaller caller(ioContext, "127.0.0.1:" + std::to_string(silent.local_endpoint().port()));
+    std::optional<HttpResult> result;
+    caller.call({.method = "POST", .target = "/a", .body = "{}"}, 100ms,
+                [&](HttpResult it) { result = it; });
+    while (!result && ioContext.run_one_for(3s) != 0) {
+    }
+    BOOST_REQUIRE(result && !*result);
+    BOOST_TEST((result->error().fault == HttpFault::Lost));
+}
+
+BOOST_AUTO_TEST_CASE(anAddressThatIsNoIpAndPortIsAnError)
+{
+    boost::asio::io_context ioContext;
+    HttpCaller caller(ioContext, "somewhere");
+    BOOST_TEST(!callOnce(ioContext, caller, "/a"));
+    HttpListener listener(ioContext, "127.0.0.1", [](std::string_view) { return HttpAnswer{}; });
+    BOOST_TEST(listener.start().has_value());
+}
--- a/gentianplank/metrics/metered_store.h
+++ b/gentianplank/metrics/metered_store.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "gentianplank/metrics/metrics.h"
-#include "gentianplank/platform/table_store.h"
+#include "gentianplank/store/table_store.h"
 
 namespace gentianplank {
 
--- /dev/null
+++ b/gentianplank/node/caller_session.h
@@ -0,0 +1,62 @@
+// The connection of one caller: reads its statements, has them run, and answers.
+//
+//     auto session = std::make_shared<CallerSession>(std::move(socket), number, environment);
+//     session->start();
+#pragma once
+
+#include "gentianplank/node/fleet_view.h"
+#include "gentianplank/node/rate_exchange.h"
+#include "gentianplank/node/statement_router.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace gentianplank {
+
+// What became of a statement, for counters.
+struct StatementReport
+{
+    bool succeeded = false;
+    std::optional<ErrorCode> code;
+    Duration took{0};
+};
+
+// What sessions need of the VM around them. Outlives them.
+struct SessionEnvironment
+{
+    // Nothing while the VM has no configuration that is proven to be in force.
+    std::function<std::shared_ptr<const Routing>()> provenRouting;
+    StatementRouter *router = nullptr;
+    RateExchange *rates = nullptr;
+    std::function<void(const std::string &vm, const std::string &member, uint64_t session)>
+        endTransaction;
+    std::function<void(const StatementReport &)> report;
+    std::function<void(uint64_t session)> onClosed;
+};
+
+// Not thread-safe: use it on its socket's thread.
+class CallerSession : public std::enable_shared_from_this<CallerSession>
+{
+public:
+    CallerSession(boost::asio::ip::tcp::socket socket, uint64_t number,
+                  const SessionEnvironment &environment);
+    ~CallerSession();
+
+    void start();
+
+    // Closes the session if it rests outside a transaction. True when it did.
+    bool closeIfIdle(const std::string &reason);
+
+    // Rolls back a transaction that waits for its caller; the caller learns it when it goes on.
+    void abortTransaction(const std::string &reason);
+
+    bool isIdle() const;
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+} // namespace gentianplank
--- /dev/null
+++ b/gentianplank/node/main.cc
@@ -0,0 +1,167 @@
+// gentianplank-entry: the proxy on an entry VM of the users' platform.
+
+#include "gentianplank/base/event_log.h"
+#include "gentianplank/node/control.h"
+#include "gentianplank/node/traffic.h"
+#include "gentianplank/platform/names.h"
+#include "gentianplank/platform/process_settings.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <random>
+
+ABSL_FLAG(std::string, settings, "",
+          "the platform's settings file; by default the one that the environment names");
+ABSL_FLAG(bool, check, false, "check the settings, print what is wrong with them, and end");
+
+namespace {
+
+using namespace gentianplank;
+
+constexpr char Version[] = "gentianplank-entry 0.2.0";
+// How often the settings file is read again, in case it changed without a signal.
+constexpr int SettingsCheckSeconds = 5;
+
+std::string settingsFile()
+{
+    std::string file = absl::GetFlag(FLAGS_settings);
+    if (file.empty()) {
+        const char *fromEnvironment = std::getenv(platform::SettingsVariable);
+        file = fromEnvironment == nullptr ? "" : fromEnvironment;
+    }
+    return file;
+}
+
+uint64_t newIncarnation()
+{
+    std::random_device device;
+    return (static_cast<uint64_t>(device()) << 32U) | device();
+}
+
+void reportFindings(const std::vector<Finding> &findings)
+{
+    for (const Finding &it : findings) {
+        std::cerr << toString(it) << '\n';
+    }
+}
+
+// Changes that a running process can't take are logged; the next start takes them.
+void reloadSettings(const std::string &file, const EntryVmSettings &current, bool wasAsked)
+{
+    const auto loaded = platform::loadProcessSettings(file);
+    if (!loaded) {
+        for (const Finding &it : loaded.error()) {
+            logEvent("settings.refused", {{"finding", toString(it)}});
+        }
+        return;
+    }
+    const bool isChanged = !(*loaded == current);
+    if (wasAsked || isChanged) {
+        logEvent("settings.reloaded", {{"changed", isChanged}, {"asked", wasAsked}});
+    }
+}
+
+void waitForSignals(const sigset_t &signals, const std::string &file,
+                    const EntryVmSettings &settings, Control &control)
+{
+    bool isStopping = false;
+    while (true) {
+        const timespec pause{SettingsCheckSeconds, 0};
+        const int signal = sigtimedwait(&signals, nullptr, &pause);
+        if (signal == SIGUSR1) {
+            return;
+        }
+        if (signal == SIGTERM || signal == SIGINT) {
+            if (!isStopping) {
+                logEvent("stop.asked", {{"signal", signal}});
+            }
+            isStopping = true;
+            control.leave();
+        } else if (!isStopping) {
+            reloadSettings(file, settings, signal == SIGHUP);
+        }
+    }
+}
+
+int serve(const std::string &file, const EntryVmSettings &settings)
+{
+    // Every thread inherits the mask; the main thread takes the signals one by one. SIGUSR1 is
+    // what the traffic thread sends when it has stopped.
+    sigset_t signals;
+    sigemptyset(&signals);
+    for (const int it : {SIGTERM, SIGINT, SIGHUP, SIGUSR1}) {
+        sigaddset(&signals, it);
+    }
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    startEventLog();
+
+    const uint64_t incarnation = newIncarnation();
+    logEvent("start", {{"version", Version},
+                       {"vm", settings.name},
+                       {"zone", settings.place.zone},
+                       {"incarnation", incarnation}});
+    const pthread_t mainThread = pthread_self();
+    Control control(settings, incarnation);
+    TrafficHandler handler;
+    handler.onSuspicion = [&](const std::string &group, const std::string &member) {
+        control.takeSuspicion(group, member);
+    };
+    handler.onControlRequest = [&](const peer::v1::Frame &frame,
+                                   std::function<void(const peer::v1::Frame &)> reply) {
+        control.takeRequest(frame, std::move(reply));
+    };
+    handler.onControlReply = [&](const std::string &vm, const peer::v1::Frame &frame) {
+        control.takeReply(vm, frame);
+    };
+    handler.onStopped = [mainThread] { pthread_kill(mainThread, SIGUSR1); };
+    Traffic traffic(settings, incarnation, std::move(handler));
+    if (const auto error = traffic.start()) {
+        logEvent("start.failed", {{"why", *error}});
+        std::cerr << *error << '\n';
+        stopEventLog();
+        return EXIT_FAILURE;
+    }
+    control.start(traffic);
+    waitForSignals(signals, file, settings, control);
+    control.join();
+    traffic.join();
+    logEvent("stop", {{"vm", settings.name}});
+    stopEventLog();
+    return EXIT_SUCCESS;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    absl::SetProgramUsageMessage("Serves callers of database groups on an entry VM.\n"
+                                 "gentianplank-entry [--settings FILE] [--check]");
+    absl::FlagsUsageConfig usage;
+    usage.version_string = [] { return std::string(Version) + "\n"; };
+    absl::SetFlagsUsageConfig(usage);
+    absl::ParseCommandLine(argc, argv);
+
+    const std::string file = settingsFile();
+    if (file.empty()) {
+        std::cerr << "no settings file: give --settings or set " << platform::SettingsVariable
+                  << '\n';
+        return EXIT_FAILURE;
+    }
+    const auto settings = platform::loadProcessSettings(file);
+    if (!settings) {
+        reportFindings(settings.error());
+        return EXIT_FAILURE;
+    }
+    if (absl::GetFlag(FLAGS_check)) {
+        std::cout << file << ": no findings\n";
+        return EXIT_SUCCESS;
+    }
+    return serve(file, *settings);
+}
--- /dev/null
+++ b/gentianplank/node/member_link.cc
@@ -0,0 +1,239 @@
+#include "gentianplank/node/member_link.h"
+
+#include "gentianplank/http/endpoint.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+
+namespace gentianplank {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using platform::LineBuffer;
+using platform::MemberLine;
+
+namespace {
+
+constexpr size_t ReadBytes = 4UL * 1024;
+// An answer of several of the largest messages; a longer one is not collected.
+constexpr size_t LargestAnswer = 8UL * 1024 * 1024;
+// A request that the far machine does not even acknowledge for this long will get no answer.
+// Well above the way and back within a region, and below any statement's limit.
+constexpr Duration Silence = std::chrono::milliseconds(500);
+
+} // namespace
+
+struct MemberLink::State
+{
+    explicit State(asio::io_context &ioContext)
+        : socket(ioContext), timer(ioContext), buffer(platform::LargestMessage)
+    {
+    }
+
+    asio::ip::tcp::socket socket;
+    asio::steady_timer timer;
+    std::array<char, ReadBytes> chunk{};
+    LineBuffer buffer;
+    std::string writing;
+    ReplyHandler handler;
+    std::function<void()> idleClose;
+    MemberReply reply;
+    bool isOpen = false;
+    bool isClosed = false;
+};
+
+MemberLink::MemberLink(std::unique_ptr<State> state) : m_state(std::move(state)) {}
+
+MemberLink::~MemberLink() = default;
+
+std::shared_ptr<MemberLink> MemberLink::open(asio::io_context &ioContext,
+                                             const MemberLinkTarget &target, Duration timeout,
+                                             ReplyHandler opened)
+{
+    std::shared_ptr<MemberLink> link(new MemberLink(std::make_unique<State>(ioContext)));
+    link->m_state->handler = std::move(opened);
+    link->armTimer(timeout);
+    const auto endpoint = parseEndpoint(target.address);
+    if (!endpoint) {
+        asio::post(ioContext, [link, target] {
+            link->fail(MemberReply::Kind::Broken, "'" + target.address + "' is not IP:PORT");
+        });
+        return link;
+    }
+    link->m_state->socket.async_connect(*endpoint, [link, target](error_code ec) {
+        if (link->m_state->isClosed) {
+            return;
+        }
+        if (ec) {
+            link->fail(MemberReply::Kind::Broken, "connect: " + ec.message());
+            return;
+        }
+        link->connected(target);
+    });
+    return link;
+}
+
+void MemberLink::connected(const MemberLinkTarget &target)
+{
+    prepareSocket(m_state->socket, Silence);
+    m_state->isOpen = true;
+    read();
+    write(platform::encodeMemberStart(target.group, target.organisation, target.memberId));
+}
+
+void MemberLink::request(std::string line, Duration timeout, ReplyHandler handler)
+{
+    m_state->handler = std::move(handler);
+    m_state->reply = {};
+    if (m_state->isClosed) {
+        asio::post(m_state->socket.get_executor(), [self = shared_from_this()] {
+            MemberReply reply;
+            reply.text = "the connection is closed";
+            self->finish(std::move(reply));
+        });
+        return;
+    }
+    armTimer(timeout);
+    write(std::move(line));
+}
+
+void MemberLink::close()
+{
+    fail(MemberReply::Kind::Broken, "closed here");
+}
+
+void MemberLink::onIdleClose(std::function<void()> handler)
+{
+    m_state->idleClose = std::move(handler);
+}
+
+bool MemberLink::isOpen() const
+{
+    return m_state->isOpen && !m_state->isClosed;
+}
+
+bool MemberLink::isBusy() const
+{
+    return static_cast<bool>(m_state->handler);
+}
+
+void MemberLink::read()
+{
+    m_state->socket.async_read_some(
+        asio::buffer(m_state->chunk), [self = shared_from_this()](error_code ec, size_t n) {
+            if (self->m_state->isClosed) {
+                return;
+            }
+            if (ec) {
+                self->fail(MemberReply::Kind::Broken, "read: " + ec.message());
+                return;
+            }
+            self->m_state->buffer.append({self->m_state->chunk.data(), n});
+            self->takeLines();
+            if (!self->m_state->isClosed) {
+                self->read();
+            }
+        });
+}
+
+void MemberLink::takeLines()
+{
+    while (!m_state->isClosed) {
+        const auto text = m_state->buffer.next();
+        if (!text) {
+            break;
+        }
+        if (!isBusy()) {
+            fail(MemberReply::Kind::Broken, "the member spoke unasked");
+            return;
+        }
+        const MemberLine line = platform::decodeMemberLine(*text);
+        MemberReply &reply = m_state->reply;
+        if (line.kind == MemberLine::Kind::Ready) {
+            reply.kind = MemberReply::Kind::Answer;
+            reply.state = line.state;
+            reply.position = line.position;
+            finish(std::move(reply));
+            continue;
+        }
+        if (line.kind == MemberLine::Kind::Malformed) {
+            fail(MemberReply::Kind::Broken, "the member sent a line that can't be read");
+            return;
+        }
+        if (line.kind == MemberLine::Kind::Error) {
+            reply.code = line.code;
+            reply.text = line.text;
+        }
+        if (line.kind == MemberLine::Kind::Row && reply.lines.empty()) {
+            reply.status = platform::decodeStatus(line.fields);
+        }
+        reply.lines.append(*text).append("\r\n");
+        if (reply.lines.size() > LargestAnswer) {
+            fail(MemberReply::Kind::Broken, "the answer is too large");
+        }
+    }
+    if (!m_state->isClosed && m_state->buffer.isTooLong()) {
+        fail(MemberReply::Kind::Broken, "the member sent a line that is too long");
+    }
+}
+
+void MemberLink::write(std::string line)
+{
+    m_state->writing = std::move(line);
+    asio::async_write(m_state->socket, asio::buffer(m_state->writing),
+                      [self = shared_from_this()](error_code ec, size_t) {
+                          if (ec && !self->m_state->isClosed) {
+                              self->fail(MemberReply::Kind::Broken, "write: " + ec.message());
+                          }
+                      });
+}
+
+void MemberLink::armTimer(Duration timeout)
+{
+    m_state->timer.expires_after(timeout);
+    m_state->timer.async_wait([weak = weak_from_this()](error_code ec) {
+        auto self = weak.lock();
+        // A wait that ended just before the timer was set anew says nothing.
+        const bool isDue = self && self->m_state->timer.expiry() <= std::chrono::steady_clock::now();
+        if (!ec && isDue && self->isBusy() && !self->m_state->isClosed) {
+            self->fail(MemberReply::Kind::TimedOut, "no answer in time");
+        }
+    });
+}
+
+void MemberLink::finish(MemberReply reply)
+{
+    m_state->timer.cancel();
+    auto handler = std::move(m_state->handler);
+    m_state->handler = nullptr;
+    if (handler) {
+        handler(std::move(reply));
+    }
+}
+
+void MemberLink::fail(MemberReply::Kind kind, const std::string &what)
+{
+    if (m_state->isClosed) {
+        return;
+    }
+    m_state->isClosed = true;
+    m_state->timer.cancel();
+    resetSocket(m_state->socket);
+    if (isBusy()) {
+        MemberReply reply = std::move(m_state->reply);
+        reply.kind = kind;
+        // An error that came before a close says more than the close.
+        if (!reply.code) {
+            reply.text = what;
+        }
+        finish(std::move(reply));
+    } else if (m_state->idleClose) {
+        auto idleClose = std::move(m_state->idleClose);
+        idleClose();
+    }
+}
+
+} // namespace gentianplank
--- /dev/null
+++ b/gentianplank/node/member_probe.cc
@@ -0,0 +1,45 @@
+#include "gentianplank/node/member_probe.h"
+
+namespace gentianplank {
+
+namespace {
+
+// Above the way to another region and back, with a slot of the member taken for a while.
+constexpr Duration OpenTimeout = std::chrono::milliseconds(350);
+constexpr Duration AnswerTimeout = std::chrono::milliseconds(300);
+// The name under which the system itself connects.
+constexpr char OwnOrganisation[] = "-";
+
+} // namespace
+
+void sendToMember(boost::asio::io_context &ioContext, const MemberEntry &member,
+                  const std::string &text, std::function<void(MemberProbe)> done)
+{
+    // The link must live until its first answer, which comes after open() has returned.
+    auto holder = std::make_shared<std::shared_ptr<MemberLink>>();
+    *holder = MemberLink::open(
+        ioContext, {member.address, member.group, member.id, OwnOrganisation}, OpenTimeout,
+        [holder, text, done = std::move(done)](const MemberReply &opened) {
+            const auto link = std::move(*holder);
+            if (opened.kind != MemberReply::Kind::Answer || opened.code) {
+                const bool refused = opened.code && opened.code != ErrorCode::WrongMember;
+                done({refused, std::nullopt, opened.text});
+                return;
+            }
+            link->request(platform::encodeStatement(platform::OwnRequestId, text, {}),
+                          AnswerTimeout, [link, done](const MemberReply &reply) {
+                              const bool answered = reply.kind == MemberReply::Kind::Answer;
+                              done({answered || reply.kind == MemberReply::Kind::TimedOut,
+                                    answered ? reply.status : std::nullopt, reply.text});
+                              link->close();
+                          });
+        });
+}
+
+void probeMember(boost::asio::io_context &ioContext, const MemberEntry &member,
+                 std::function<void(MemberProbe)> done)
+{
+    sendToMember(ioContext, member, platform::statusText(), std::move(done));
+}
+
+} // namespace gentianplank
--- /dev/null
+++ b/gentianplank/node/node_metrics.cc
@@ -0,0 +1,89 @@
+#include "gentianplank/node/node_metrics.h"
+
+#include "gentianplank/base/event_log.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace gentianplank {
+
+namespace {
+
+// From a fast read to the longest statement limit, in seconds.
+const prometheus::Histogram::BucketBoundaries LatencyBuckets{
+    0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6};
+
+constexpr double SecondsPerMicrosecond = 1e-6;
+
+} // namespace
+
+struct NodeMetrics::State
+{
+    prometheus::Registry registry;
+    prometheus::Counter &succeeded =
+        statements().Add({{"outcome", "done"}});
+    prometheus::Counter &promised = statements().Add({{"outcome", "not_kept"}});
+    prometheus::Counter &unknown = statements().Add({{"outcome", "unknown"}});
+    prometheus::Counter &failed = statements().Add({{"outcome", "failed"}});
+    prometheus::Histogram &latency =
+        prometheus::BuildHistogram()
+            .Name("gentianplank_statement_seconds")
+            .Help("Time from a statement's arrival to its outcome")
+            .Register(registry)
+            .Add({}, LatencyBuckets);
+    prometheus::Counter &connections =
+        prometheus::BuildCounter()
+            .Name("gentianplank_member_connections_total")
+            .Help("Connections opened to members")
+            .Register(registry)
+            .Add({});
+    prometheus::Gauge &droppedLines =
+        prometheus::BuildGauge()
+            .Name("gentianplank_log_lines_dropped")
+            .Help("Log lines dropped since the start")
+            .Register(registry)
+            .Add({});
+
+private:
+    prometheus::Family<prometheus::Counter> &statements()
+    {
+        return prometheus::BuildCounter()
+            .Name("gentianplank_statements_total")
+            .Help("Statements by what their callers were told")
+            .Register(registry);
+    }
+};
+
+NodeMetrics::NodeMetrics() : m_state(std::make_unique<State>()) {}
+
+NodeMetrics::~NodeMetrics() = default;
+
+void NodeMetrics::count(const StatementReport &report)
+{
+    m_state->latency.Observe(static_cast<double>(report.took.count()) * SecondsPerMicrosecond);
+    if (report.succeeded) {
+        m_state->succeeded.Increment();
+    } else if (report.code && isPromise(*report.code)) {
+        m_state->promised.Increment();
+    } else if (report.code == ErrorCode::Unknown || report.code == ErrorCode::Timeout) {
+        m_state->unknown.Increment();
+    } else {
+        m_state->failed.Increment();
+    }
+}
+
+void NodeMetrics::countConnection()
+{
+    m_state->connections.Increment();
+}
+
+std::string NodeMetrics::text() const
+{
+    m_state->droppedLines.Set(static_cast<double>(droppedEventLines()));
+    return prometheus::TextSerializer().Serialize(m_state->registry.Collect());
+}
+
+} // namespace gentianplank
--- /dev/null
+++ b/gentianplank/node/peer_mesh.cc
@@ -0,0 +1,384 @@
+#include "gentianplank/node/peer_mesh.h"
+
+#include "gentianplank/base/event_log.h"
+#include "gentianplank/http/endpoint.h"
+
+#include <map>
+
+namespace gentianplank {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+// A way to another region and back takes 40 ms; a lost packet is sent again after 200 ms or so.
+constexpr Duration ConnectTimeout = std::chrono::milliseconds(600);
+constexpr Duration PingInterval = std::chrono::milliseconds(300);
+// A link that brought nothing for this long, though pinged, is given up.
+constexpr Duration LongestSilence = std::chrono::milliseconds(900);
+// A peer that could not be reached is not tried for this long.
+constexpr Duration FailurePause = std::chrono::milliseconds(250);
+// Links that carried no statement for this long are not pinged, and are closed.
+constexpr Duration UnusedPause = std::chrono::seconds(20);
+
+struct PendingCall
+{
+    std::string vm;
+    OutcomeHandler done;
+};
+
+struct Peer
+{
+    VmRecord record;
+    std::shared_ptr<PeerLink> link;
+    Instant failedUntil{};
+    Instant heardAt{};
+    Instant pingedAt{};
+    Instant usedAt{};
+    uint64_t pingNumber = 0;
+    BootInstant pingSentAt{};
+    bool isLeaving = false;
+    bool wasLost = false;
+};
+
+} // namespace
+
+struct PeerMesh::State : std::enable_shared_from_this<PeerMesh::State>
+{
+    State(asio::io_context &context, std::string name, uint64_t number, PeerMeshHandler callbacks)
+        : ioContext(context), ownName(std::move(name)), incarnation(number),
+          handler(std::move(callbacks)), acceptor(context)
+    {
+    }
+
+    std::shared_ptr<PeerLink> linkTo(Peer &peer);
+    void linkOpened(const std::string &vm);
+    void linkClosed(const std::string &vm, const std::shared_ptr<PeerLink> &link, bool wasOpen,
+                    const std::string &what);
+    void takeFrame(const std::string &vm, const peer::v1::Frame &frame);
+    void takePong(const std::string &vm, const peer::v1::Pong &pong);
+    void accept();
+    void accepted(asio::ip::tcp::socket socket);
+    void dropPeer(Peer &peer, const std::string &reason);
+
+    asio::io_context &ioContext;
+    std::string ownName;
+    uint64_t incarnation;
+    PeerMeshHandler handler;
+    asio::ip::tcp::acceptor acceptor;
+    std::map<std::string, Peer, std::less<>> peers;
+    std::map<uint64_t, PendingCall> calls;
+    uint64_t nextCall = 1;
+    // Links that peers opened, with the numbers of their sessions' origin.
+    std::map<std::shared_ptr<PeerLink>, uint64_t> accepts;
+    uint64_t nextOrigin = 1;
+};
+
+std::shared_ptr<PeerLink> PeerMesh::State::linkTo(Peer &peer)
+{
+    if (peer.link) {
+        return peer.link;
+    }
+    const auto endpoint = parseEndpoint(peer.record.peerAddress);
+    if (!endpoint) {
+        return nullptr;
+    }
+    const std::string vm = peer.record.name;
+    PeerLinkHandler callbacks;
+    const std::weak_ptr<State> weak = weak_from_this();
+    callbacks.onOpen = [weak, vm](const std::shared_ptr<PeerLink> &) {
+        if (auto self = weak.lock()) {
+            self->linkOpened(vm);
+        }
+    };
+    callbacks.onFrame = [weak, vm](const std::shared_ptr<PeerLink> &,
+                                   const peer::v1::Frame &frame) {
+        if (auto self = weak.lock()) {
+            self->takeFrame(vm, frame);
+        }
+    };
+    callbacks.onClosed = [weak, vm](const std::shared_ptr<PeerLink> &link, bool wasOpen,
+                                    const std::string &what) {
+        if (auto self = weak.lock()) {
+            self->linkClosed(vm, link, wasOpen, what);
+        }
+    };
+    peer.link = PeerLink::connect(ioContext, *endpoint, ConnectTimeout, std::move(callbacks));
+    peer.heardAt = steadyNow();
+    peer.pingedAt = {};
+    peer::v1::Frame hello;
+    hello.mutable_hello()->set_vm(ownName);
+    hello.mutable_hello()->set_incarnation(incarnation);
+    peer.link->send(hello);
+    return peer.link;
+}
+
+void PeerMesh::State::linkOpened(const std::string &vm)
+{
+    const auto it = peers.find(vm);
+    if (it == peers.end()) {
+        return;
+    }
+    it->second.heardAt = steadyNow();
+    if (it->second.wasLost) {
+        it->second.wasLost = false;
+        logEvent("peer.regained", {{"vm", vm}});
+    }
+}
+
+void PeerMesh::State::linkClosed(const std::string &vm, const std::shared_ptr<PeerLink> &link,
+                                 bool wasOpen, const std::string &what)
+{
+    const auto it = peers.find(vm);
+    if (it == peers.end() || it->second.link != link) {
+        return;
+    }
+    it->second.link = nullptr;
+    it->second.failedUntil = steadyNow() + FailurePause;
+    if (!it->second.wasLost) {
+        it->second.wasLost = true;
+        logEvent("peer.lost", {{"vm", vm}, {"why", what}});
+    }
+    std::vector<OutcomeHandler> lost;
+    for (auto call = calls.begin(); call != calls.end();) {
+        if (call->second.vm == vm) {
+            lost.push_back(std::move(call->second.done));
+            call = calls.erase(call);
+        } else {
+            ++call;
+        }
+    }
+    for (const OutcomeHandler &done : lost) {
+        StatementOutcome outcome = wasOpen
+            ? unknownOutcome(ErrorCode::Unknown, "the link to " + vm + " broke: " + what)
+            : unreachable(vm + " can't be reached: " + what);
+        outcome.isUnreachable = true;
+        done(std::move(outcome));
+    }
+}
+
+void PeerMesh::State::takeFrame(const std::string &vm, const peer::v1::Frame &frame)
+{
+    const auto it = peers.find(vm);
+    if (it != peers.end()) {
+        it->second.heardAt = steadyNow();
+    }
+    if (frame.has_answer()) {
+        const auto call = calls.find(frame.answer().call());
+        if (call != calls.end()) {
+            const OutcomeHandler done = std::move(call->second.done);
+            calls.erase(call);
+            done(fromWire(frame.answer()));
+        }
+        return;
+    }
+    if (frame.has_pong()) {
+        takePong(vm, frame.pong());
+        return;
+    }
+    handler.onReply(vm, frame);
+}
+
+void PeerMesh::State::takePong(const std::string &vm, const peer::v1::Pong &pong)
+{
+    const auto it = peers.find(vm);
+    if (it == peers.end()) {
+        return;
+    }
+    it->second.isLeaving = pong.leaving();
+    if (pong.number() == it->second.pingNumber) {
+        handler.onPong(vm, pong, it->second.pingSentAt);
+    }
+}
+
+void PeerMesh::State::accept()
+{
+    acceptor.async_accept([weak = weak_from_this()](error_code ec, asio::ip::tcp::socket socket) {
+        auto self = weak.lock();
+        if (!self || ec == asio::error::operation_aborted) {
+            return;
+        }
+        if (!ec) {
+            self->accepted(std::move(socket));
+        }
+        self->accept();
+    });
+}
+
+void PeerMesh::State::accepted(asio::ip::tcp::socket socket)
+{
+    PeerLinkHandler callbacks;
+    const std::weak_ptr<State> weak = weak_from_this();
+    callbacks.onFrame = [weak](const std::shared_ptr<PeerLink> &link,
+                               const peer::v1::Frame &frame) {
+        auto self = weak.lock();
+        if (!self) {
+            return;
+        }
+        if (frame.has_hello()) {
+            link->setPeerName(frame.hello().vm());
+            return;
+        }
+        self->handler.onRequest(link, frame);
+    };
+    callbacks.onClosed = [weak](const std::shared_ptr<PeerLink> &link, bool, const std::string &) {
+        auto self = weak.lock();
+        if (!self) {
+            return;
+        }
+        const auto it = self->accepts.find(link);
+        if (it != self->accepts.end()) {
+            const uint64_t origin = it->second;
+            self->accepts.erase(it);
+            self->handler.onOriginGone(origin);
+        }
+    };
+    accepts[PeerLink::accept(std::move(socket), std::move(callbacks))] = nextOrigin++;
+}
+
+void PeerMesh::State::dropPeer(Peer &peer, const std::string &reason)
+{
+    if (peer.link) {
+        const auto link = peer.link;
+        linkClosed(peer.record.name, link, link->isOpen(), reason);
+        link->close(reason);
+    }
+}
+
+PeerMesh::PeerMesh(asio::io_context &ioContext, std::string ownName, uint64_t incarnation,
+                   PeerMeshHandler handler)
+    : m_state(std::make_shared<State>(ioContext, std::move(ownName), incarnation,
+                                      std::move(handler)))
+{
+}
+
+PeerMesh::~PeerMesh() = default;
+
+std::optional<std::string> PeerMesh::listen(const std::string &address)
+{
+    const auto endpoint = parseEndpoint(address);
+    if (!endpoint) {
+        return "'" + address + "' is not IP:PORT";
+    }
+    error_code ec;
+    auto &acceptor = m_state->acceptor;
+    acceptor.open(endpoint->protocol(), ec);
+    acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+    acceptor.bind(*endpoint, ec);
+    if (!ec) {
+        acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    }
+    if (ec) {
+        return "cannot listen for peers at " + address + ": " + ec.message();
+    }
+    m_state->accept();
+    return std::nullopt;
+}
+
+void PeerMesh::setPeers(std::span<const VmRecord> vms)
+{
+    for (const VmRecord &it : vms) {
+        if (it.name == m_state->ownName) {
+            continue;
+        }
+        const auto known = m_state->peers.find(it.name);
+        const bool isSame =
+            known != m_state->peers.end() && known->second.record.incarnation == it.incarnation;
+        if (isSame) {
+            known->second.record = it;
+            continue;
+        }
+        if (known != m_state->peers.end()) {
+            m_state->dropPeer(known->second, "the peer started anew");
+        }
+        Peer peer;
+        peer.record = it;
+        m_state->peers[it.name] = std::move(peer);
+    }
+    std::vector<std::string> gone;
+    for (auto &[name, peer] : m_state->peers) {
+        const bool isListed = std::any_of(vms.begin(), vms.end(),
+                                          [&](const VmRecord &it) { return it.name == name; });
+        if (!isListed) {
+            gone.push_back(name);
+        }
+    }
+    for (const std::string &name : gone) {
+        m_state->dropPeer(m_state->peers[name], "the peer is no longer listed");
+        m_state->peers.erase(name);
+    }
+}
+
+bool PeerMesh::isReachable(const std::string &vm) const
+{
+    const auto it = m_state->peers.find(vm);
+    return it != m_state->peers.end() && !it->second.isLeaving
+        && (it->second.link || steadyNow() >= it->second.failedUntil);
+}
+
+void PeerMesh::call(const std::string &vm, const ForwardedStatement &statement, OutcomeHandler done)
+{
+    const auto it = m_state->peers.find(vm);
+    const auto link = it == m_state->peers.end() ? nullptr : m_state->linkTo(it->second);
+    if (!link) {
+        done(unreachable("no such VM: " + vm));
+        return;
+    }
+    it->second.usedAt = steadyNow();
+    const uint64_t number = m_state->nextCall++;
+    m_state->calls[number] = {vm, std::move(done)};
+    peer::v1::Frame frame;
+    frame.mutable_execute()->set_call(number);
+    toWire(statement, frame.mutable_execute());
+    link->send(frame);
+}
+
+bool PeerMesh::send(const std::string &vm, const peer::v1::Frame &frame)
+{
+    const auto it = m_state->peers.find(vm);
+    const auto link = it == m_state->peers.end() ? nullptr : m_state->linkTo(it->second);
+    if (!link) {
+        return false;
+    }
+    it->second.usedAt = steadyNow();
+    link->send(frame);
+    return true;
+}
+
+uint64_t PeerMesh::originOf(const std::shared_ptr<PeerLink> &link) const
+{
+    const auto it = m_state->accepts.find(link);
+    return it == m_state->accepts.end() ? 0 : it->second;
+}
+
+void PeerMesh::tick()
+{
+    const Instant now = steadyNow();
+    std::vector<std::pair<std::string, std::string>> ended;
+    for (auto &[name, peer] : m_state->peers) {
+        if (!peer.link || !peer.link->isOpen()) {
+            continue;
+        }
+        if (now - peer.usedAt > UnusedPause) {
+            ended.emplace_back(name, "not used");
+            continue;
+        }
+        if (peer.pingedAt > peer.heardAt && now - peer.heardAt > LongestSilence) {
+            ended.emplace_back(name, "silent");
+            continue;
+        }
+        if (now - peer.pingedAt >= PingInterval) {
+            peer.pingedAt = now;
+            peer.pingSentAt = bootNow();
+            peer::v1::Frame frame;
+            frame.mutable_ping()->set_number(++peer.pingNumber);
+            peer.link->send(frame);
+        }
+    }
+    for (const auto &[name, reason] : ended) {
+        m_state->dropPeer(m_state->peers[name], reason);
+    }
+}
+
+} // namespace gentianplank
--- /dev/null
+++ b/gentianplank/node/peer_messages.cc
@@ -0,0 +1,120 @@
+#include "gentianplank/node/peer_mesh.h"
+
+namespace gentianplank {
+
+namespace {
+
+Duration fromMs(uint32_t ms)
+{
+    return std::chrono::milliseconds(ms);
+}
+
+uint32_t toMs(Duration duration)
+{
+    return static_cast<uint32_t>(std::max<int64_t>(0, toMilliseconds(duration)));
+}
+
+} // namespace
+
+LogPosition fromWire(const peer::v1::Position &wire)
+{
+    return {wire.term(), wire.number()};
+}
+
+void toWire(const LogPosition &position, peer::v1::Position *wire)
+{
+    wire->set_term(position.term);
+    wire->set_number(position.position);
+}
+
+void toWire(const ForwardedStatement &statement, peer::v1::Execute *wire)
+{
+    wire->set_session(statement.session.session);
+    wire->set_group(statement.group);
+    wire->set_member(statement.member);
+    wire->set_organisation(statement.organisation);
+    wire->set_request_id(statement.requestId);
+    wire->set_text(statement.text);
+    wire->set_kind(static_cast<uint32_t>(statement.kind));
+    wire->set_opens_transaction(statement.opensTransaction);
+    wire->set_continues_transaction(statement.continuesTransaction);
+    wire->set_reads_only(statement.readsOnly);
+    if (statement.after) {
+        toWire(*statement.after, wire->mutable_after());
+    }
+    for (const auto &[name, value] : statement.values) {
+        (*wire->mutable_values())[name] = value;
+    }
+    if (statement.prepared) {
+        wire->mutable_prepared()->set_writes(statement.prepared->writes);
+        wire->mutable_prepared()->set_shape(statement.prepared->shape);
+    }
+    wire->set_timeout_ms(toMs(statement.timeout));
+    wire->set_objective_ms(toMs(statement.objective));
+    wire->set_priority(statement.priority);
+    wire->set_epoch(statement.epoch);
+}
+
+ForwardedStatement fromWire(const peer::v1::Execute &wire)
+{
+    ForwardedStatement statement;
+    statement.session.session = wire.session();
+    statement.group = wire.group();
+    statement.member = wire.member();
+    statement.organisation = wire.organisation();
+    statement.requestId = wire.request_id();
+    statement.text = wire.text();
+    statement.kind = static_cast<ForwardKind>(wire.kind());
+    statement.opensTransaction = wire.opens_transaction();
+    statement.continuesTransaction = wire.continues_transaction();
+    statement.readsOnly = wire.reads_only();
+    if (wire.has_after()) {
+        statement.after = fromWire(wire.after());
+    }
+    statement.values = {wire.values().begin(), wire.values().end()};
+    if (wire.has_prepared()) {
+        statement.prepared = {wire.prepared().writes(), wire.prepared().shape()};
+    }
+    statement.timeout = fromMs(wire.timeout_ms());
+    statement.objective = fromMs(wire.objective_ms());
+    statement.priority = wire.priority();
+    statement.epoch = wire.epoch();
+    return statement;
+}
+
+void toWire(const StatementOutcome &outcome, peer::v1::Answer *wire)
+{
+    wire->set_fate(static_cast<uint32_t>(outcome.fate));
+    // 0 stands for success.
+    wire->set_code(outcome.code ? static_cast<uint32_t>(*outcome.code) + 1 : 0);
+    wire->set_reason(outcome.reason);
+    wire->set_lines(outcome.lines);
+    wire->set_state(static_cast<uint32_t>(outcome.state));
+    if (outcome.position) {
+        toWire(*outcome.position, wire->mutable_position());
+    }
+    wire->set_retry_after_ms(toMs(outcome.retryAfter));
+    wire->set_unreachable(outcome.isUnreachable);
+    wire->mutable_load()->set_expected_wait_ms(toMs(outcome.expectedWait));
+}
+
+StatementOutcome fromWire(const peer::v1::Answer &wire)
+{
+    StatementOutcome outcome;
+    outcome.fate = static_cast<StatementFate>(wire.fate());
+    if (wire.code() != 0) {
+        outcome.code = static_cast<ErrorCode>(wire.code() - 1);
+    }
+    outcome.reason = wire.reason();
+    outcome.lines = wire.lines();
+    outcome.state = static_cast<TransactionState>(wire.state());
+    if (wire.has_position()) {
+        outcome.position = fromWire(wire.position());
+    }
+    outcome.retryAfter = fromMs(wire.retry_after_ms());
+    outcome.isUnreachable = wire.unreachable();
+    outcome.expectedWait = fromMs(wire.load().expected_wait_ms());
+    return outcome;
+}
+
+} // namespace gentianplank
--- /dev/null
+++ b/gentianplank/node/rate_exchange.cc
@@ -0,0 +1,241 @@
+#include "gentianplank/node/rate_exchange.h"
+
+#include "gentianplank/base/event_log.h"
+#include "gentianplank/base/rendezvous.h"
+#include "gentianplank/organisation/shared_rate.h"
+
+#include <algorithm>
+#include <deque>
+
+namespace gentianplank {
+
+namespace {
+
+// Owners of one organisation's rate. Their number is bounded, so that asking does not grow with
+// the fleet, and large enough that the loss of a few leaves most of the rate.
+constexpr size_t MostOwners = 8;
+// A VM that lost its part, or its right to serve, has stopped using it after this long: longer than
+// a proof of the configuration lasts.
+constexpr Duration PartDelay = std::chrono::milliseconds(5200);
+// An operation waits this long for other VMs' tokens: more than the way to another region and back.
+constexpr Duration LongestWait = std::chrono::milliseconds(110);
+// An ask without an answer is forgotten after this long.
+constexpr Duration AskTimeout = std::chrono::milliseconds(300);
+// Asking again where there was nothing.
+constexpr Duration EmptyPause = std::chrono::milliseconds(250);
+constexpr Duration ShortestHint = std::chrono::milliseconds(100);
+constexpr Duration LongestHint = std::chrono::seconds(1);
+constexpr size_t MostWaiting = 200;
+
+struct Ask
+{
+    Instant askedAt{};
+    bool isOutstanding = false;
+    Instant emptyUntil{};
+};
+
+struct WaitingOperation
+{
+    Instant since{};
+    RateExchange::AdmissionHandler done;
+};
+
+struct OrganisationState
+{
+    SharedRate rate;
+    OrganisationLimits limits;
+    std::vector<std::string> owners;
+    std::map<std::string, Ask> asks;
+    std::deque<WaitingOperation> waiting;
+};
+
+} // namespace
+
+struct RateExchange::State
+{
+    void askOthers(const std::string &name, OrganisationState &organisation, Instant now);
+    static bool hasOutstanding(const OrganisationState &organisation, Instant now);
+    void serveWaiting(OrganisationState &organisation, Instant now);
+    static Duration hint(const OrganisationState &organisation);
+
+    std::string ownName;
+    Place ownPlace;
+    RateExchangeEnvironment environment;
+    std::map<std::string, Distance> distances;
+    std::map<std::string, OrganisationState, std::less<>> organisations;
+    bool hasView = false;
+};
+
+// Asks owners for what is wanted: near ones first, far ones when the near ones had nothing.
+void RateExchange::State::askOthers(const std::string &name, OrganisationState &organisation,
+                                    Instant now)
+{
+    const double wanted = tokensWanted(organisation.rate, now);
+    if (wanted <= 0) {
+        return;
+    }
+    std::vector<std::string> near;
+    std::vector<std::string> far;
+    for (const std::string &vm : organisation.owners) {
+        const Ask &ask = organisation.asks[vm];
+        const bool isOutstanding = ask.isOutstanding && now - ask.askedAt < AskTimeout;
+        if (vm == ownName || isOutstanding || now < ask.emptyUntil
+            || !environment.isReachable(vm)) {
+            continue;
+        }
+        const auto distance = distances.find(vm);
+        const bool isFar =
+            distance == distances.end() || distance->second == Distance::OtherRegion;
+        (isFar ? far : near).push_back(vm);
+    }
+    const auto &chosen = near.empty() && organisation.rate.tokens < 1 ? far : near;
+    for (const std::string &vm : chosen) {
+        peer::v1::Frame frame;
+        frame.mutable_rate_ask()->set_organisation(name);
+        frame.mutable_rate_ask()->set_tokens(wanted / static_cast<double>(chosen.size()));
+        if (environment.send(vm, frame)) {
+            organisation.asks[vm].askedAt = now;
+            organisation.asks[vm].isOutstanding = true;
+        }
+    }
+}
+
+bool RateExchange::State::hasOutstanding(const OrganisationState &organisation, Instant now)
+{
+    return std::any_of(organisation.asks.begin(), organisation.asks.end(), [&](const auto &it) {
+        return it.second.isOutstanding && now - it.second.askedAt < AskTimeout;
+    });
+}
+
+Duration RateExchange::State::hint(const OrganisationState &organisation)
+{
+    const double perSecond = std::max(organisation.limits.perSecond, 0.1);
+    const double backlog = std::max(1.0, organisation.rate.demand - perSecond);
+    const auto wait = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(backlog / perSecond));
+    return std::clamp(wait, ShortestHint, LongestHint);
+}
+
+void RateExchange::State::serveWaiting(OrganisationState &organisation, Instant now)
+{
+    while (!organisation.waiting.empty()) {
+        const bool isLate = now - organisation.waiting.front().since > LongestWait
+            || !hasOutstanding(organisation, now);
+        // The demand was counted when the operation came.
+        const double demand = organisation.rate.demand;
+        const bool hasToken = takeToken(organisation.rate, now);
+        organisation.rate.demand = demand;
+        if (!hasToken && !isLate) {
+            return;
+        }
+        const auto done = std::move(organisation.waiting.front().done);
+        organisation.waiting.pop_front();
+        done(hasToken, hasToken ? Duration::zero() : hint(organisation));
+    }
+}
+
+RateExchange::RateExchange(std::string ownName, Place ownPlace, RateExchangeEnvironment environment)
+    : m_state(std::make_unique<State>())
+{
+    m_state->ownName = std::move(ownName);
+    m_state->ownPlace = std::move(ownPlace);
+    m_state->environment = std::move(environment);
+}
+
+RateExchange::~RateExchange() = default;
+
+void RateExchange::update(const FleetView &view, Instant now)
+{
+    if (!view.routing || view.vms.empty()) {
+        return;
+    }
+    std::vector<std::string> names;
+    for (const VmRecord &it : view.vms) {
+        names.push_back(it.name);
+        m_state->distances[it.name] = distanceBetween(it.place, m_state->ownPlace);
+    }
+    const Duration firstDelay = view.wasKnownBefore ? Duration::zero() : PartDelay;
+    std::erase_if(m_state->organisations, [&](const auto &it) {
+        return it.second.waiting.empty() && view.routing->organisations.count(it.first) == 0;
+    });
+    for (const auto &[name, limits] : view.routing->organisations) {
+        const bool isNew = m_state->organisations.count(name) == 0;
+        OrganisationState &organisation = m_state->organisations[name];
+        organisation.limits = limits;
+        organisation.owners = rankByRendezvous("rate/" + name, names);
+        if (organisation.owners.size() > MostOwners) {
+            organisation.owners.resize(MostOwners);
+        }
+        const bool isOwner = std::find(organisation.owners.begin(), organisation.owners.end(),
+                                       m_state->ownName)
+            != organisation.owners.end();
+        const auto n = static_cast<double>(organisation.owners.size());
+        const RatePart part = isOwner ? RatePart{limits.perSecond / n, limits.burst / n} : RatePart{};
+        const bool isFirst = isNew && !m_state->hasView;
+        setPart(organisation.rate, part, now, isFirst ? firstDelay : PartDelay);
+    }
+    m_state->hasView = true;
+}
+
+void RateExchange::admit(const std::string &organisation, AdmissionHandler done)
+{
+    const Instant now = steadyNow();
+    const auto it = m_state->organisations.find(organisation);
+    if (it == m_state->organisations.end()) {
+        done(false, LongestHint);
+        return;
+    }
+    OrganisationState &state = it->second;
+    const bool hasToken = state.waiting.empty() && takeToken(state.rate, now);
+    m_state->askOthers(organisation, state, now);
+    if (hasToken) {
+        done(true, Duration::zero());
+        return;
+    }
+    if (!State::hasOutstanding(state, now) || state.waiting.size() >= MostWaiting) {
+        done(false, State::hint(state));
+        return;
+    }
+    state.waiting.push_back({now, std::move(done)});
+}
+
+double RateExchange::give(const std::string &organisation, double asked)
+{
+    const auto it = m_state->organisations.find(organisation);
+    if (it == m_state->organisations.end()) {
+        return 0;
+    }
+    return giveTokens(it->second.rate, asked, steadyNow());
+}
+
+void RateExchange::receive(const std::string &vm, const std::string &organisation, double tokens)
+{
+    const auto it = m_state->organisations.find(organisation);
+    if (it == m_state->organisations.end()) {
+        return;
+    }
+    const Instant now = steadyNow();
+    OrganisationState &state = it->second;
+    receiveTokens(state.rate, tokens, now);
+    Ask &ask = state.asks[vm];
+    ask.isOutstanding = false;
+    if (tokens < 1) {
+        ask.emptyUntil = now + EmptyPause;
+    }
+    if (!state.waiting.empty()) {
+        m_state->askOthers(organisation, state, now);
+        m_state->serveWaiting(state, now);
+    }
+}
+
+void RateExchange::tick()
+{
+    const Instant now = steadyNow();
+    for (auto &[name, organisation] : m_state->organisations) {
+        if (!organisation.waiting.empty()) {
+            m_state->serveWaiting(organisation, now);
+        }
+    }
+}
+
+} // namespace gentianplank
--- /dev/null
+++ b/gentianplank/node/rate_exchange.h
@@ -0,0 +1,53 @@
+// Admits operations by their organisation's rate over all VMs, and moves parts of rates between
+// VMs to where they are asked for.
+//
+//     exchange.admit("dredge-co", [](bool isAdmitted, Duration retryAfter) { ... });
+#pragma once
+
+#include "gentianplank/node/fleet_view.h"
+#include "gentianplank/peer/peer.pb.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace gentianplank {
+
+// What the exchange needs of the VM around it.
+struct RateExchangeEnvironment
+{
+    std::function<bool(const std::string &vm)> isReachable;
+    std::function<bool(const std::string &vm, const peer::v1::Frame &frame)> send;
+};
+
+// Not thread-safe.
+class RateExchange
+{
+public:
+    using AdmissionHandler = std::function<void(bool isAdmitted, Duration retryAfter)>;
+
+    RateExchange(std::string ownName, Place ownPlace, RateExchangeEnvironment environment);
+    ~RateExchange();
+
+    // Takes the organisations' limits, and who owns parts of them.
+    void update(const FleetView &view, Instant now);
+
+    // Calls `done` at once when there is a token, or when there is no hope of one; otherwise when
+    // other VMs have answered, after at most a tenth of a second.
+    void admit(const std::string &organisation, AdmissionHandler done);
+
+    // Returns how many tokens this VM gives up to another.
+    double give(const std::string &organisation, double asked);
+
+    // Takes tokens that `vm` gave up.
+    void receive(const std::string &vm, const std::string &organisation, double tokens);
+
+    // Answers those who have waited long enough. Call it about every 50 ms.
+    void tick();
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+} // namespace gentianplank
--- /dev/null
+++ b/gentianplank/node/traffic.cc
@@ -0,0 +1,633 @@
+#include "gentianplank/node/traffic.h"
+
+#include "gentianplank/base/event_log.h"
+#include "gentianplank/http/endpoint.h"
+#include "gentianplank/http/http_listener.h"
+#include "gentianplank/node/caller_session.h"
+#include "gentianplank/node/member_dispatcher.h"
+#include "gentianplank/node/node_metrics.h"
+#include "gentianplank/node/peer_mesh.h"
+#include "gentianplank/node/rate_exchange.h"
+#include "gentianplank/node/statement_router.h"
+#include "gentianplank/platform/names.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <thread>
+
+namespace gentianplank {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+// Waits of statements are rounded up to this.
+constexpr Duration TickInterval = std::chrono::milliseconds(20);
+// A key may be used this much less than the platform allows after its withdrawal: the checks of a
+// statement and its way take some of it.
+constexpr Duration RevocationMargin = std::chrono::milliseconds(300);
+// How long transactions may go on in an orderly change of their primary.
+constexpr Duration OrderlyPatience = std::chrono::milliseconds(400);
+// The balancer asks for readiness each second and leaves a VM alone after two misses; sessions
+// closed earlier would come back.
+constexpr Duration BalancerPause = std::chrono::milliseconds(2300);
+// Descriptors for peers, members, the store and logs; callers get the rest.
+constexpr uint32_t ReservedDescriptors = 700;
+// A leaving member gets no new work this much before the platform's limit.
+constexpr Duration DrainMargin = std::chrono::milliseconds(2000);
+
+struct EpochRelease
+{
+    std::string group;
+    uint64_t epoch = 0;
+    Instant breakAt{};
+    std::vector<std::function<void()>> done;
+};
+
+} // namespace
+
+struct Traffic::State : std::enable_shared_from_this<Traffic::State>
+{
+    State(EntryVmSettings vmSettings, uint64_t number, TrafficHandler callbacks)
+        : settings(std::move(vmSettings)), incarnation(number), handler(std::move(callbacks)),
+          tickTimer(ioContext), acceptor(ioContext)
+    {
+    }
+
+    std::optional<std::string> listen();
+    void makeParts();
+    void accept();
+    void scheduleTick();
+    void tick();
+
+    bool hasProvenConfiguration() const;
+    bool isReady() const;
+    std::optional<GroupRecord> usablePrimary(const std::string &group) const;
+    bool mayUsePrimary(const std::string &group, uint64_t epoch) const;
+
+    std::shared_ptr<MemberDispatcher> dispatcherFor(const std::string &member);
+    void updateDispatchers();
+    void executeHere(const ForwardedStatement &statement, OutcomeHandler done);
+    void execute(const std::string &vm, const ForwardedStatement &statement, OutcomeHandler done);
+    void takeRequest(const std::shared_ptr<PeerLink> &link, const peer::v1::Frame &frame);
+    void takeReply(const std::string &vm, const peer::v1::Frame &frame);
+    void takePong(const peer::v1::Pong &pong, BootInstant sentAt);
+    peer::v1::Frame pong(uint64_t number) const;
+    void endTransaction(const std::string &vm, const std::string &member, uint64_t session);
+
+    void release(const std::string &group, uint64_t epoch, bool isOrderly,
+                 std::function<void()> done);
+    void checkReleases(Instant now);
+    void checkStop(Instant now);
+
+    EntryVmSettings settings;
+    uint64_t incarnation;
+    TrafficHandler handler;
+    asio::io_context ioContext;
+    asio::steady_timer tickTimer;
+    asio::ip::tcp::acceptor acceptor;
+    std::unique_ptr<HttpListener> readiness;
+    std::unique_ptr<PeerMesh> mesh;
+    std::unique_ptr<RateExchange> rates;
+    std::unique_ptr<StatementRouter> router;
+    SessionEnvironment sessionEnvironment;
+    NodeMetrics metrics;
+    std::string peerAddress;
+
+    std::shared_ptr<const FleetView> view = std::make_shared<FleetView>();
+    FleetProofs proofs;
+    bool wasProven = false;
+    std::map<std::string, uint64_t> releasedEpochs;
+    std::vector<EpochRelease> releases;
+    std::map<std::string, std::shared_ptr<MemberDispatcher>> dispatchers;
+    std::map<uint64_t, std::shared_ptr<CallerSession>> sessions;
+    uint64_t nextSession = 1;
+    std::optional<Instant> stoppingSince;
+    bool hasStopped = false;
+    std::thread thread;
+};
+
+std::optional<std::string> Traffic::State::listen()
+{
+    const auto endpoint = parseEndpoint(settings.callerAddress);
+    error_code ec;
+    acceptor.open(endpoint->protocol(), ec);
+    acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+    acceptor.bind(*endpoint, ec);
+    if (!ec) {
+        acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    }
+    if (ec) {
+        return "cannot listen for callers at " + settings.callerAddress + ": " + ec.message();
+    }
+    readiness = std::make_unique<HttpListener>(
+        ioContext, settings.readyAddress, [this](std::string_view path) -> HttpAnswer {
+            if (path == platform::ReadinessPath) {
+                return {isReady() ? 200U : 503U, "", "text/plain"};
+            }
+            if (path == "/metrics") {
+                return {200, metrics.text(), "text/plain; version=0.0.4"};
+            }
+            return {404, "", "text/plain"};
+        });
+    if (auto error = readiness->start()) {
+        return error;
+    }
+    peerAddress = settings.ip + ":" + std::to_string(settings.firstPeerPort);
+    return mesh->listen(peerAddress);
+}
+
+void Traffic::State::makeParts()
+{
+    PeerMeshHandler meshHandler;
+    meshHandler.onRequest = [this](const std::shared_ptr<PeerLink> &link,
+                                   const peer::v1::Frame &frame) { takeRequest(link, frame); };
+    meshHandler.onOriginGone = [this](uint64_t origin) {
+        for (const auto &[id, dispatcher] : dispatchers) {
+            dispatcher->endOrigin(origin);
+        }
+    };
+    meshHandler.onReply = [this](const std::string &vm, const peer::v1::Frame &frame) {
+        takeReply(vm, frame);
+    };
+    meshHandler.onPong = [this](const std::string &, const peer::v1::Pong &pong,
+                                BootInstant sentAt) { takePong(pong, sentAt); };
+    mesh = std::make_unique<PeerMesh>(ioContext, settings.name, incarnation,
+                                      std::move(meshHandler));
+
+    rates = std::make_unique<RateExchange>(
+        settings.name, settings.place,
+        RateExchangeEnvironment{
+            [this](const std::string &vm) { return mesh->isReachable(vm); },
+            [this](const std::string &vm, const peer::v1::Frame &frame) {
+                return mesh->send(vm, frame);
+            }});
+
+    RouterEnvironment routerEnvironment;
+    routerEnvironment.view = [this] { return view; };
+    routerEnvironment.usablePrimary = [this](const std::string &group) {
+        return usablePrimary(group);
+    };
+    routerEnvironment.isReachable = [this](const std::string &vm) {
+        return vm == settings.name ? !stoppingSince : mesh->isReachable(vm);
+    };
+    routerEnvironment.execute = [this](const std::string &vm, const ForwardedStatement &statement,
+                                       OutcomeHandler done) {
+        execute(vm, statement, std::move(done));
+    };
+    router = std::make_unique<StatementRouter>(settings.place, std::move(routerEnvironment));
+
+    sessionEnvironment.provenRouting = [this]() -> std::shared_ptr<const Routing> {
+        return hasProvenConfiguration() ? view->routing : nullptr;
+    };
+    sessionEnvironment.router = router.get();
+    sessionEnvironment.rates = rates.get();
+    sessionEnvironment.endTransaction = [this](const std::string &vm, const std::string &member,
+                                               uint64_t session) {
+        endTransaction(vm, member, session);
+    };
+    sessionEnvironment.report = [this](const StatementReport &report) { metrics.count(report); };
+    sessionEnvironment.onClosed = [this](uint64_t session) {
+        asio::post(ioContext, [this, session] { sessions.erase(session); });
+    };
+}
+
+void Traffic::State::accept()
+{
+    acceptor.async_accept([this](error_code ec, asio::ip::tcp::socket socket) {
+        if (ec == asio::error::operation_aborted) {
+            return;
+        }
+        const size_t most = settings.fileDescriptors - ReservedDescriptors;
+        if (!ec && sessions.size() < most) {
+            const uint64_t number = nextSession++;
+            auto session = std::make_shared<CallerSession>(std::move(socket), number,
+                                                           sessionEnvironment);
+            sessions[number] = session;
+            session->start();
+        } else if (!ec) {
+            logEvent("session.refused", {{"why", "too many sessions"}, {"open", sessions.size()}});
+            resetSocket(socket);
+        }
+        accept();
+    });
+}
+
+void Traffic::State::scheduleTick()
+{
+    tickTimer.expires_after(TickInterval);
+    tickTimer.async_wait([this](error_code ec) {
+        if (!ec) {
+            tick();
+            scheduleTick();
+        }
+    });
+}
+
+void Traffic::State::tick()
+{
+    const Instant now = steadyNow();
+    mesh->tick();
+    rates->tick();
+    router->tick();
+    // A dispatcher's callbacks may add others.
+    auto current = dispatchers;
+    for (const auto &[id, dispatcher] : current) {
+        dispatcher->tick();
+    }
+    checkReleases(now);
+    const bool isProven = hasProvenConfiguration();
+    if (isProven != wasProven) {
+        wasProven = isProven;
+        logEvent(isProven ? "configuration.proven" : "configuration.unproven",
+                 {{"revision", view->routing ? view->routing->revision : 0},
+                  {"proof_age_ms", toMilliseconds(bootNow() - proofs.configuration)}});
+    }
+    if (stoppingSince) {
+        checkStop(now);
+    }
+}
+
+bool Traffic::State::hasProvenConfiguration() const
+{
+    return view->routing
+        && bootNow() - proofs.configuration < settings.revocationLimit - RevocationMargin;
+}
+
+bool Traffic::State::isReady() const
+{
+    return !stoppingSince && hasProvenConfiguration() && !view->vms.empty();
+}
+
+std::optional<GroupRecord> Traffic::State::usablePrimary(const std::string &group) const
+{
+    const auto it = view->groups.find(group);
+    if (it == view->groups.end()) {
+        return std::nullopt;
+    }
+    const auto released = releasedEpochs.find(group);
+    const bool isReleased = released != releasedEpochs.end() && it->second.epoch < released->second;
+    if (isReleased || !gentianplank::mayUsePrimary({it->second, proofs.fleet}, bootNow())) {
+        return std::nullopt;
+    }
+    const auto member = view->members.find(it->second.primary);
+    const bool isLeavingTooLong = member != view->members.end()
+        && member->second.leavingSince != BootInstant{}
+        && bootNow() - member->second.leavingSince > settings.drainLimit - DrainMargin;
+    if (isLeavingTooLong) {
+        return std::nullopt;
+    }
+    return it->second;
+}
+
+bool Traffic::State::mayUsePrimary(const std::string &group, uint64_t epoch) const
+{
+    const auto it = view->groups.find(group);
+    const auto released = releasedEpochs.find(group);
+    return it != view->groups.end() && it->second.epoch == epoch
+        && (released == releasedEpochs.end() || epoch >= released->second)
+        && gentianplank::mayUsePrimary({it->second, proofs.fleet}, bootNow());
+}
+
+std::shared_ptr<MemberDispatcher> Traffic::State::dispatcherFor(const std::string &member)
+{
+    const auto known = dispatchers.find(member);
+    if (known != dispatchers.end()) {
+        return known->second;
+    }
+    const auto it = view->members.find(member);
+    if (it == view->members.end() || !view->routing) {
+        return nullptr;
+    }
+    const GroupLimits *group = view->routing->group(it->second.entry.group);
+    DispatcherEnvironment environment;
+    environment.mayUsePrimary = [this](const std::string &name, uint64_t epoch) {
+        return mayUsePrimary(name, epoch);
+    };
+    environment.onUnreachable = [this](const MemberEntry &entry, const std::string &) {
+        handler.onSuspicion(entry.group, entry.id);
+    };
+    environment.onPrimaryPosition = [this](const std::string &name, uint64_t epoch,
+                                           const PositionSample &sample) {
+        router->notePrimaryPosition(name, epoch, sample);
+    };
+    environment.onConnection = [this] { metrics.countConnection(); };
+    auto dispatcher = std::make_shared<MemberDispatcher>(
+        ioContext, std::move(environment), it->second.entry,
+        DispatcherLimits{group == nullptr ? 1 : group->connectionLimit,
+                         view->routing->limits.transactionIdle});
+    dispatchers[member] = dispatcher;
+    return dispatcher;
+}
+
+void Traffic::State::updateDispatchers()
+{
+    for (auto it = dispatchers.begin(); it != dispatchers.end();) {
+        const auto member = view->members.find(it->first);
+        if (member == view->members.end()) {
+            const auto dispatcher = it->second;
+            it = dispatchers.erase(it);
+            dispatcher->close("the member is gone");
+            continue;
+        }
+        const GroupLimits *group =
+            view->routing ? view->routing->group(member->second.entry.group) : nullptr;
+        it->second->update(member->second.entry,
+                           {group == nullptr ? 1 : group->connectionLimit,
+                            view->routing ? view->routing->limits.transactionIdle
+                                          : Duration(std::chrono::seconds(3))});
+        const auto ranked = dispatchersFor(it->first, member->second.place, view->vms);
+        it->second->setFirstChoice(!ranked.empty() && ranked.front()->name == settings.name
+                                   && !stoppingSince);
+        ++it;
+    }
+}
+
+void Traffic::State::executeHere(const ForwardedStatement &statement, OutcomeHandler done)
+{
+    const auto dispatcher = dispatcherFor(statement.member);
+    if (!dispatcher) {
+        done(unreachable("this VM does not know the member " + statement.member));
+        return;
+    }
+    if (stoppingSince && !statement.continuesTransaction) {
+        done(unreachable("this VM stops"));
+        return;
+    }
+    dispatcher->execute(statement, std::move(done));
+}
+
+void Traffic::State::execute(const std::string &vm, const ForwardedStatement &statement,
+                             OutcomeHandler done)
+{
+    if (vm == settings.name) {
+        executeHere(statement, std::move(done));
+        return;
+    }
+    const BootInstant sentAt = bootNow();
+    mesh->call(vm, statement,
+               [this, sentAt, group = statement.group, epoch = statement.epoch,
+                done = std::move(done)](StatementOutcome outcome) {
+                   const bool isSample = epoch != 0 && outcome.position && !outcome.code
+                       && outcome.fate == StatementFate::Answered && mayUsePrimary(group, epoch);
+                   if (isSample) {
+                       router->notePrimaryPosition(group, epoch, {*outcome.position, sentAt});
+                   }
+                   done(std::move(outcome));
+               });
+}
+
+void Traffic::State::takeRequest(const std::shared_ptr<PeerLink> &link,
+                                 const peer::v1::Frame &frame)
+{
+    if (frame.has_execute()) {
+        ForwardedStatement statement = fromWire(frame.execute());
+        statement.session.origin = mesh->originOf(link);
+        executeHere(statement, [link, call = frame.execute().call()](
+                                   const StatementOutcome &outcome) {
+            peer::v1::Frame reply;
+            reply.mutable_answer()->set_call(call);
+            toWire(outcome, reply.mutable_answer());
+            link->send(reply);
+        });
+    } else if (frame.has_ping()) {
+        link->send(pong(frame.ping().number()));
+    } else if (frame.has_end_transaction()) {
+        const auto it = dispatchers.find(frame.end_transaction().member());
+        if (it != dispatchers.end()) {
+            it->second->endTransaction(
+                {mesh->originOf(link), frame.end_transaction().session()});
+        }
+    } else if (frame.has_rate_ask()) {
+        peer::v1::Frame reply;
+        reply.mutable_rate_grant()->set_organisation(frame.rate_ask().organisation());
+        reply.mutable_rate_grant()->set_tokens(
+            rates->give(frame.rate_ask().organisation(), frame.rate_ask().tokens()));
+        link->send(reply);
+    } else {
+        handler.onControlRequest(frame, [this, link](const peer::v1::Frame &reply) {
+            asio::post(ioContext, [link, reply] { link->send(reply); });
+        });
+    }
+}
+
+void Traffic::State::takeReply(const std::string &vm, const peer::v1::Frame &frame)
+{
+    if (frame.has_rate_grant()) {
+        rates->receive(vm, frame.rate_grant().organisation(), frame.rate_grant().tokens());
+        return;
+    }
+    handler.onControlReply(vm, frame);
+}
+
+peer::v1::Frame Traffic::State::pong(uint64_t number) const
+{
+    peer::v1::Frame frame;
+    peer::v1::Pong *pong = frame.mutable_pong();
+    pong->set_number(number);
+    pong->set_leaving(stoppingSince.has_value());
+    const BootInstant now = bootNow();
+    for (const auto &[id, dispatcher] : dispatchers) {
+        if (!dispatcher->isIdle()) {
+            auto *load = pong->add_loads();
+            load->set_member(id);
+            load->mutable_load()->set_expected_wait_ms(
+                static_cast<uint32_t>(toMilliseconds(dispatcher->expectedWait())));
+        }
+    }
+    for (const auto &[group, history] : router->histories()) {
+        const auto sample = newestSample(history);
+        if (sample && mayUsePrimary(group, history.epoch)
+            && now - sample->sentAt < std::chrono::seconds(1)) {
+            auto *it = pong->add_samples();
+            it->set_group(group);
+            it->set_epoch(history.epoch);
+            toWire(sample->position, it->mutable_position());
+            it->set_age_ms(static_cast<uint32_t>(toMilliseconds(now - sample->sentAt)) + 1);
+        }
+    }
+    return frame;
+}
+
+void Traffic::State::takePong(const peer::v1::Pong &pong, BootInstant sentAt)
+{
+    for (const auto &it : pong.loads()) {
+        router->noteLoad(it.member(),
+                         std::chrono::milliseconds(it.load().expected_wait_ms()));
+    }
+    for (const auto &it : pong.samples()) {
+        if (mayUsePrimary(it.group(), it.epoch())) {
+            router->notePrimaryPosition(
+                it.group(), it.epoch(),
+                {fromWire(it.position()), sentAt - std::chrono::milliseconds(it.age_ms())});
+        }
+    }
+}
+
+void Traffic::State::endTransaction(const std::string &vm, const std::string &member,
+                                    uint64_t session)
+{
+    if (vm == settings.name) {
+        const auto it = dispatchers.find(member);
+        if (it != dispatchers.end()) {
+            it->second->endTransaction({0, session});
+        }
+        return;
+    }
+    peer::v1::Frame frame;
+    frame.mutable_end_transaction()->set_member(member);
+    frame.mutable_end_transaction()->set_session(session);
+    mesh->send(vm, frame);
+}
+
+void Traffic::State::release(const std::string &group, uint64_t epoch, bool isOrderly,
+                             std::function<void()> done)
+{
+    releasedEpochs[group] = std::max(releasedEpochs[group], epoch);
+    const Instant now = steadyNow();
+    releases.push_back({group, epoch, isOrderly ? now + OrderlyPatience : now, {std::move(done)}});
+    checkReleases(now);
+}
+
+// Answers releases whose group has no use of the old primary any more.
+void Traffic::State::checkReleases(Instant now)
+{
+    std::vector<EpochRelease> ended;
+    std::erase_if(releases, [&](EpochRelease &it) {
+        bool isUsed = false;
+        for (const auto &[id, dispatcher] : dispatchers) {
+            const auto member = view->members.find(id);
+            if (member == view->members.end() || member->second.entry.group != it.group) {
+                continue;
+            }
+            if (now >= it.breakAt) {
+                dispatcher->breakPrimaryUseBelow(it.epoch);
+            }
+            isUsed = isUsed || dispatcher->usesPrimaryBelow(it.epoch);
+        }
+        if (!isUsed) {
+            ended.push_back(std::move(it));
+        }
+        return !isUsed;
+    });
+    for (const EpochRelease &it : ended) {
+        for (const auto &done : it.done) {
+            done();
+        }
+    }
+}
+
+// Closes what rests once the balancer knows, ends transactions in time, then tells.
+void Traffic::State::checkStop(Instant now)
+{
+    if (hasStopped) {
+        return;
+    }
+    const Duration since = now - *stoppingSince;
+    if (since > settings.grace / 2) {
+        for (const auto &[number, session] : sessions) {
+            session->abortTransaction("this VM stops");
+        }
+    }
+    if (since > BalancerPause) {
+        auto current = sessions;
+        for (const auto &[number, session] : current) {
+            session->closeIfIdle("this VM stops");
+        }
+    }
+    bool isIdle = sessions.empty();
+    for (const auto &[id, dispatcher] : dispatchers) {
+        isIdle = isIdle && dispatcher->isIdle();
+    }
+    const Duration last = settings.grace - std::chrono::milliseconds(700);
+    if ((isIdle && since > BalancerPause) || since > last) {
+        hasStopped = true;
+        logEvent("traffic.stopped", {{"open_sessions", sessions.size()}});
+        handler.onStopped();
+    }
+}
+
+Traffic::Traffic(EntryVmSettings settings, uint64_t incarnation, TrafficHandler handler)
+    : m_state(std::make_shared<State>(std::move(settings), incarnation, std::move(handler)))
+{
+    m_state->makeParts();
+}
+
+Traffic::~Traffic()
+{
+    join();
+}
+
+std::optional<std::string> Traffic::start()
+{
+    if (auto error = m_state->listen()) {
+        return error;
+    }
+    m_state->accept();
+    m_state->scheduleTick();
+    m_state->thread = std::thread([state = m_state] { state->ioContext.run(); });
+    return std::nullopt;
+}
+
+std::string Traffic::peerAddress() const
+{
+    return m_state->peerAddress;
+}
+
+void Traffic::publish(std::shared_ptr<const FleetView> view)
+{
+    asio::post(m_state->ioContext, [state = m_state, view = std::move(view)] {
+        state->view = view;
+        state->mesh->setPeers(view->vms);
+        state->rates->update(*view, steadyNow());
+        state->updateDispatchers();
+        state->router->retryWaiting();
+    });
+}
+
+void Traffic::prove(const FleetProofs &proofs)
+{
+    asio::post(m_state->ioContext, [state = m_state, proofs] { state->proofs = proofs; });
+}
+
+void Traffic::sendToPeer(const std::string &vm, const peer::v1::Frame &frame)
+{
+    asio::post(m_state->ioContext, [state = m_state, vm, frame] {
+        if (vm != state->settings.name) {
+            state->mesh->send(vm, frame);
+            return;
+        }
+        state->handler.onControlRequest(frame, [state, vm](const peer::v1::Frame &reply) {
+            state->handler.onControlReply(vm, reply);
+        });
+    });
+}
+
+void Traffic::releasePrimary(const std::string &group, uint64_t epoch, bool isOrderly,
+                             std::function<void()> done)
+{
+    asio::post(m_state->ioContext, [state = m_state, group, epoch, isOrderly, done] {
+        state->release(group, epoch, isOrderly, done);
+    });
+}
+
+void Traffic::stop()
+{
+    asio::post(m_state->ioContext, [state = m_state] {
+        if (!state->stoppingSince) {
+            state->stoppingSince = steadyNow();
+            state->updateDispatchers();
+        }
+    });
+}
+
+void Traffic::join()
+{
+    m_state->ioContext.stop();
+    if (m_state->thread.joinable()) {
+        m_state->thread.join();
+    }
+}
+
+} // namespace gentianplank
--- /dev/null
+++ b/gentianplank/peer/peer_link.cc
@@ -0,0 +1,219 @@
+#include "gentianplank/peer/peer_link.h"
+
+#include "gentianplank/http/endpoint.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <cstring>
+
+namespace gentianplank {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+constexpr size_t LengthBytes = 4;
+// A member's answer of the largest size, and its envelope.
+constexpr size_t LargestFrame = 9UL * 1024 * 1024;
+// What may wait for a peer that does not read.
+constexpr size_t MostQueuedBytes = 16UL * 1024 * 1024;
+constexpr size_t ReadBytes = 16UL * 1024;
+// Bytes that stay unacknowledged for this long end the link. Twice the longest way and back, and
+// time for a lost packet to be sent again.
+constexpr Duration Silence = std::chrono::milliseconds(1000);
+
+std::string encodeFrame(const peer::v1::Frame &frame)
+{
+    const size_t size = frame.ByteSizeLong();
+    std::string bytes(LengthBytes, '\0');
+    for (size_t i = 0; i < LengthBytes; ++i) {
+        bytes[i] = static_cast<char>((size >> (8 * (LengthBytes - 1 - i))) & 0xffU);
+    }
+    frame.AppendToString(&bytes);
+    return bytes;
+}
+
+size_t decodeLength(const char *bytes)
+{
+    size_t size = 0;
+    for (size_t i = 0; i < LengthBytes; ++i) {
+        size = (size << 8U) | static_cast<unsigned char>(bytes[i]);
+    }
+    return size;
+}
+
+} // namespace
+
+struct PeerLink::State
+{
+    State(asio::ip::tcp::socket connection, PeerLinkHandler callbacks)
+        : socket(std::move(connection)), handler(std::move(callbacks)),
+          connectTimer(socket.get_executor())
+    {
+    }
+
+    asio::ip::tcp::socket socket;
+    PeerLinkHandler handler;
+    asio::steady_timer connectTimer;
+    std::array<char, ReadBytes> chunk{};
+    std::string received;
+    std::string writing;
+    std::string queued;
+    std::string peerName;
+    bool isOpen = false;
+    bool isClosed = false;
+};
+
+PeerLink::PeerLink(std::unique_ptr<State> state) : m_state(std::move(state)) {}
+
+PeerLink::~PeerLink() = default;
+
+std::shared_ptr<PeerLink> PeerLink::connect(asio::io_context &ioContext,
+                                            const asio::ip::tcp::endpoint &endpoint,
+                                            Duration timeout, PeerLinkHandler handler)
+{
+    std::shared_ptr<PeerLink> link(new PeerLink(
+        std::make_unique<State>(asio::ip::tcp::socket(ioContext), std::move(handler))));
+    link->m_state->connectTimer.expires_after(timeout);
+    link->m_state->connectTimer.async_wait([weak = link->weak_from_this()](error_code ec) {
+        auto self = weak.lock();
+        if (!ec && self && !self->m_state->isOpen) {
+            self->fail("connecting took too long");
+        }
+    });
+    link->m_state->socket.async_connect(endpoint, [link](error_code ec) {
+        if (link->m_state->isClosed) {
+            return;
+        }
+        if (ec) {
+            link->fail("connect: " + ec.message());
+            return;
+        }
+        link->m_state->connectTimer.cancel();
+        prepareSocket(link->m_state->socket, Silence);
+        link->m_state->isOpen = true;
+        link->read();
+        link->m_state->handler.onOpen(link);
+        link->write();
+    });
+    return link;
+}
+
+std::shared_ptr<PeerLink> PeerLink::accept(asio::ip::tcp::socket socket, PeerLinkHandler handler)
+{
+    std::shared_ptr<PeerLink> link(
+        new PeerLink(std::make_unique<State>(std::move(socket), std::move(handler))));
+    prepareSocket(link->m_state->socket, Silence);
+    link->m_state->isOpen = true;
+    link->read();
+    return link;
+}
+
+void PeerLink::send(const peer::v1::Frame &frame)
+{
+    if (m_state->isClosed) {
+        return;
+    }
+    m_state->queued += encodeFrame(frame);
+    if (m_state->queued.size() > MostQueuedBytes) {
+        close("the peer does not read");
+        return;
+    }
+    write();
+}
+
+void PeerLink::close(const std::string &reason)
+{
+    asio::post(m_state->socket.get_executor(),
+               [self = shared_from_this(), reason] { self->fail(reason); });
+}
+
+bool PeerLink::isOpen() const
+{
+    return m_state->isOpen && !m_state->isClosed;
+}
+
+const std::string &PeerLink::peerName() const
+{
+    return m_state->peerName;
+}
+
+void PeerLink::setPeerName(std::string name)
+{
+    m_state->peerName = std::move(name);
+}
+
+void PeerLink::read()
+{
+    m_state->socket.async_read_some(asio::buffer(m_state->chunk),
+                                    [self = shared_from_this()](error_code ec, size_t n) {
+                                        if (ec) {
+                                            self->fail("read: " + ec.message());
+                                            return;
+                                        }
+                                        self->m_state->received.append(self->m_state->chunk.data(),
+                                                                       n);
+                                        self->readFrames();
+                                        if (!self->m_state->isClosed) {
+                                            self->read();
+                                        }
+                                    });
+}
+
+void PeerLink::readFrames()
+{
+    std::string &received = m_state->received;
+    size_t start = 0;
+    while (!m_state->isClosed && received.size() - start >= LengthBytes) {
+        const size_t size = decodeLength(received.data() + start);
+        if (size > LargestFrame) {
+            fail("a frame of " + std::to_string(size) + " bytes");
+            return;
+        }
+        if (received.size() - start - LengthBytes < size) {
+            break;
+        }
+        peer::v1::Frame frame;
+        if (!frame.ParseFromArray(received.data() + start + LengthBytes, static_cast<int>(size))) {
+            fail("a frame that can't be read");
+            return;
+        }
+        start += LengthBytes + size;
+        m_state->handler.onFrame(shared_from_this(), frame);
+    }
+    received.erase(0, start);
+}
+
+void PeerLink::write()
+{
+    if (!m_state->writing.empty() || m_state->queued.empty() || !m_state->isOpen) {
+        return;
+    }
+    std::swap(m_state->writing, m_state->queued);
+    asio::async_write(m_state->socket, asio::buffer(m_state->writing),
+                      [self = shared_from_this()](error_code ec, size_t) {
+                          if (ec) {
+                              self->fail("write: " + ec.message());
+                              return;
+                          }
+                          self->m_state->writing.clear();
+                          self->write();
+                      });
+}
+
+void PeerLink::fail(const std::string &what)
+{
+    if (m_state->isClosed) {
+        return;
+    }
+    m_state->isClosed = true;
+    m_state->connectTimer.cancel();
+    resetSocket(m_state->socket);
+    m_state->handler.onClosed(shared_from_this(), m_state->isOpen, what);
+}
+
+} // namespace gentianplank
--- /dev/null
+++ b/gentianplank/platform/documents.cc
@@ -0,0 +1,133 @@
+#include "gentianplank/platform/documents.h"
+
+#include "gentianplank/http/endpoint.h"
+
+#include <nlohmann/json.hpp>
+
+namespace gentianplank::platform {
+
+namespace {
+
+using Json = nlohmann::json;
+
+Duration milliseconds(const Json &value)
+{
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double, std::milli>(value.get<double>()));
+}
+
+Consistency consistencyOf(const std::string &word)
+{
+    if (word == "bounded_staleness") {
+        return Consistency::BoundedStaleness;
+    }
+    if (word == "read_your_writes") {
+        return Consistency::ReadYourWrites;
+    }
+    return Consistency::Primary;
+}
+
+DatabaseRoute decodeRoute(const Json &json)
+{
+    DatabaseRoute route;
+    route.database = json.at("host").get<std::string>();
+    route.group = json.at("service").get<std::string>();
+    route.consistency = consistencyOf(json.at("route-kind").get<std::string>());
+    if (json.contains("max-staleness-ms")) {
+        route.staleness = milliseconds(json.at("max-staleness-ms"));
+    }
+    route.timeout = milliseconds(json.at("timeout-ms"));
+    route.objective = milliseconds(json.at("target-latency-ms"));
+    route.priority = json.value("priority", 0U);
+    route.isPublic = json.value("public", false);
+    return route;
+}
+
+OrganisationLimits decodeOrganisation(const Json &json)
+{
+    OrganisationLimits organisation;
+    organisation.name = json.at("name").get<std::string>();
+    organisation.keys = json.at("api-keys").get<std::vector<std::string>>();
+    organisation.perSecond = json.at("rate-per-s").get<double>();
+    organisation.burst = json.at("burst-size").get<double>();
+    return organisation;
+}
+
+} // namespace
+
+tl::expected<Routing, std::string> decodeConfiguration(std::string_view text)
+{
+    try {
+        const Json json = Json::parse(text);
+        Routing routing;
+        routing.revision = json.at("version").get<uint64_t>();
+        for (const Json &it : json.at("routes")) {
+            DatabaseRoute route = decodeRoute(it);
+            routing.routes[route.database] = std::move(route);
+        }
+        for (const Json &it : json.at("services")) {
+            GroupLimits group;
+            group.name = it.at("name").get<std::string>();
+            group.connectionLimit = it.value("connection-limit", 1U);
+            group.synchronousReplicas = it.value("sync-replicas", 0U);
+            routing.groups[group.name] = group;
+        }
+        for (const Json &it : json.value("tenants", Json::array())) {
+            OrganisationLimits organisation = decodeOrganisation(it);
+            for (const std::string &key : organisation.keys) {
+                routing.organisationByKey[key] = organisation.name;
+            }
+            routing.organisations[organisation.name] = std::move(organisation);
+        }
+        const Json limits = json.value("limits", Json::object());
+        if (limits.contains("header-timeout-ms")) {
+            routing.limits.headerTimeout = milliseconds(limits.at("header-timeout-ms"));
+        }
+        if (limits.contains("transaction-idle-ms")) {
+            routing.limits.transactionIdle = milliseconds(limits.at("transaction-idle-ms"));
+        }
+        return routing;
+    } catch (const Json::exception &error) {
+        return tl::make_unexpected(std::string(error.what()));
+    }
+}
+
+tl::expected<MemberEntry, std::string> decodeMemberEntry(std::string_view id, std::string_view text)
+{
+    try {
+        const Json json = Json::parse(text);
+        MemberEntry entry;
+        entry.id = id;
+        entry.group = json.at("service").get<std::string>();
+        entry.address = json.at("address").get<std::string>();
+        entry.zone = json.at("zone").get<std::string>();
+        const Json &slots = json.at("slot-count");
+        const std::string state = json.at("state").get<std::string>();
+        const std::string role = json.value("database-role", "replica");
+        const Json born = json.value("born", Json(0));
+        if (!slots.is_number_integer() || slots.get<int64_t>() < 1) {
+            return tl::make_unexpected("slot-count is no number above 0");
+        }
+        if (!born.is_number_integer()) {
+            return tl::make_unexpected("born is no whole number");
+        }
+        if (state != "ready" && state != "draining") {
+            return tl::make_unexpected("state '" + state + "' is not known");
+        }
+        if (role != "primary" && role != "replica") {
+            return tl::make_unexpected("database-role '" + role + "' is not known");
+        }
+        if (!parseEndpoint(entry.address)) {
+            return tl::make_unexpected("address '" + entry.address + "' is not IP:PORT");
+        }
+        entry.slots = static_cast<uint32_t>(slots.get<int64_t>());
+        entry.isLeaving = state == "draining";
+        entry.claimsPrimary = role == "primary";
+        entry.bornAt = born.get<int64_t>();
+        return entry;
+    } catch (const Json::exception &error) {
+        return tl::make_unexpected(std::string(error.what()));
+    }
+}
+
+} // namespace gentianplank::platform
--- /dev/null
+++ b/gentianplank/platform/http_row_store.cc
@@ -0,0 +1,168 @@
+#include "gentianplank/platform/http_row_store.h"
+
+#include <absl/strings/escaping.h>
+#include <nlohmann/json.hpp>
+
+namespace gentianplank::platform {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr unsigned Ok = 200;
+constexpr unsigned Gone = 410;
+constexpr unsigned ConditionFailed = 412;
+
+std::string percentEncoded(std::string_view text)
+{
+    static constexpr char Digits[] = "0123456789ABCDEF";
+    std::string result;
+    for (const char c : text) {
+        const auto byte = static_cast<unsigned char>(c);
+        if (std::isalnum(byte) != 0 || c == '-' || c == '_' || c == '.' || c == '~') {
+            result += c;
+        } else {
+            result += '%';
+            result += Digits[byte >> 4U];
+            result += Digits[byte & 15U];
+        }
+    }
+    return result;
+}
+
+// A value that is not base64 is left as empty bytes, which no reader of rows takes for a document.
+StoredRow decodeRow(const Json &json)
+{
+    StoredRow row;
+    row.table = json.value("table", "");
+    row.key = json.at("key").get<std::string>();
+    row.version = json.at("row-version").get<uint64_t>();
+    const auto dropped = json.find("tombstone");
+    row.erased = dropped != json.end() && *dropped != Json(false);
+    if (!row.erased && !absl::Base64Unescape(json.value("value", ""), &row.value)) {
+        row.value.clear();
+    }
+    return row;
+}
+
+std::vector<StoredRow> decodeRows(const Json &json)
+{
+    std::vector<StoredRow> rows;
+    for (const Json &it : json.value("rows", Json::array())) {
+        if (it.value("part", "").empty()) {
+            rows.push_back(decodeRow(it));
+        }
+    }
+    return rows;
+}
+
+RowError errorOf(const HttpError &error)
+{
+    return {error.fault == HttpFault::NotSent ? RowFault::NotDone : RowFault::OutcomeUnknown,
+            error.what,
+            {}};
+}
+
+RowError errorOf(const HttpResponse &response)
+{
+    const std::string what = "the store answered " + std::to_string(response.status);
+    if (response.status == Gone) {
+        return {RowFault::HistoryGone, what, {}};
+    }
+    return {RowFault::NotDone, what, {}};
+}
+
+RowResult<RowSet> decodeRowSet(const HttpResult &result)
+{
+    if (!result) {
+        return tl::make_unexpected(errorOf(result.error()));
+    }
+    if (result->status != Ok) {
+        return tl::make_unexpected(errorOf(*result));
+    }
+    try {
+        const Json json = Json::parse(result->body);
+        RowSet set;
+        set.rows = decodeRows(json);
+        set.version = json.at("row-version").get<uint64_t>();
+        set.hasMore = json.value("has-more", false);
+        return set;
+    } catch (const Json::exception &error) {
+        return tl::make_unexpected(RowError{RowFault::BadAnswer, error.what(), {}});
+    }
+}
+
+RowResult<uint64_t> decodeChange(const HttpResult &result)
+{
+    if (!result) {
+        return tl::make_unexpected(errorOf(result.error()));
+    }
+    try {
+        if (result->status == Ok) {
+            return Json::parse(result->body).at("row-version").get<uint64_t>();
+        }
+        if (result->status == ConditionFailed) {
+            return tl::make_unexpected(RowError{RowFault::ConditionFailed,
+                                                "a row has another version",
+                                                decodeRows(Json::parse(result->body))});
+        }
+    } catch (const Json::exception &error) {
+        return tl::make_unexpected(RowError{RowFault::BadAnswer, error.what(), {}});
+    }
+    return tl::make_unexpected(errorOf(*result));
+}
+
+Json rowName(const std::string &table, const std::string &key)
+{
+    return {{"table", table}, {"part", ""}, {"key", key}};
+}
+
+} // namespace
+
+void HttpRowStore::read(RowRange range, Duration timeout,
+                        std::function<void(RowResult<RowSet>)> done)
+{
+    std::string target = "/rows-get?table=" + percentEncoded(range.table) + "&part=";
+    if (!range.from.empty()) {
+        target += "&from=" + percentEncoded(range.from);
+    }
+    m_caller.call(
+        {.method = "GET", .target = std::move(target), .body = {}, .headers = {}}, timeout,
+        [done = std::move(done)](HttpResult result) { done(decodeRowSet(result)); });
+}
+
+void HttpRowStore::change(RowTransaction transaction, Duration timeout,
+                          std::function<void(RowResult<uint64_t>)> done)
+{
+    Json body{{"expected", Json::array()}, {"writes", Json::array()}, {"deletes", Json::array()}};
+    for (const RowCondition &it : transaction.conditions) {
+        Json row = rowName(it.table, it.key);
+        row["row-version"] = it.version;
+        body["expected"].push_back(std::move(row));
+    }
+    for (const StoredRow &it : transaction.writes) {
+        Json row = rowName(it.table, it.key);
+        row["value"] = absl::Base64Escape(it.value);
+        body["writes"].push_back(std::move(row));
+    }
+    for (const RowCondition &it : transaction.erasures) {
+        body["deletes"].push_back(rowName(it.table, it.key));
+    }
+    m_caller.call(
+        {.method = "POST", .target = "/rows-tx", .body = body.dump(), .headers = {}}, timeout,
+        [done = std::move(done)](HttpResult result) { done(decodeChange(result)); });
+}
+
+void HttpRowStore::changesAfter(std::string table, uint64_t after, Duration wait, Duration timeout,
+                                std::function<void(RowResult<RowSet>)> done)
+{
+    m_caller.call(
+        {.method = "GET",
+         .target = "/rows-feed?table=" + percentEncoded(table) + "&after=" + std::to_string(after)
+             + "&wait-ms=" + std::to_string(toMilliseconds(wait)),
+         .body = {},
+         .headers = {}},
+        timeout, [done = std::move(done)](HttpResult result) { done(decodeRowSet(result)); });
+}
+
+} // namespace gentianplank::platform
--- /dev/null
+++ b/gentianplank/platform/http_row_store.h
@@ -0,0 +1,26 @@
+// The platform's store over HTTP, as the project's RowStore.
+#pragma once
+
+#include "gentianplank/http/http_caller.h"
+#include "gentianplank/store/row_store.h"
+
+namespace gentianplank::platform {
+
+// Runs on the thread of the caller's I/O context.
+class HttpRowStore : public RowStore
+{
+public:
+    explicit HttpRowStore(HttpCaller &caller) : m_caller(caller) {}
+
+    void read(RowRange range, Duration timeout,
+              std::function<void(RowResult<RowSet>)> done) override;
+    void change(RowTransaction transaction, Duration timeout,
+                std::function<void(RowResult<uint64_t>)> done) override;
+    void changesAfter(std::string table, uint64_t after, Duration wait, Duration timeout,
+                      std::function<void(RowResult<RowSet>)> done) override;
+
+private:
+    HttpCaller &m_caller;
+};
+
+} // namespace gentianplank::platform
--- /dev/null
+++ b/gentianplank/platform/promotion_call.cc
@@ -0,0 +1,42 @@
+#include "gentianplank/platform/promotion_call.h"
+
+#include <nlohmann/json.hpp>
+
+namespace gentianplank::platform {
+
+namespace {
+
+constexpr unsigned FirstError = 300;
+constexpr unsigned Conflict = 409;
+
+} // namespace
+
+void callPromotion(HttpCaller &caller, const std::string &group, const std::string &memberId,
+                   const std::string &holder, uint64_t fencingToken, Duration timeout,
+                   std::function<void(PromotionAnswer, std::string what)> done)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/promotion";
+    request.body = nlohmann::json{{"service", group}, {"id", memberId}}.dump();
+    request.headers = {{"X-Gentianplank-Duty-Holder", holder},
+                       {"X-Gentianplank-Fence-Token", std::to_string(fencingToken)}};
+    caller.call(std::move(request), timeout, [done = std::move(done)](const HttpResult &result) {
+        if (!result) {
+            done(result.error().fault == HttpFault::NotSent ? PromotionAnswer::NotDone
+                                                            : PromotionAnswer::Unknown,
+                 result.error().what);
+            return;
+        }
+        const std::string what = "the platform answered " + std::to_string(result->status);
+        if (result->status < FirstError) {
+            done(PromotionAnswer::Accepted, what);
+        } else if (result->status == Conflict) {
+            done(PromotionAnswer::Refused, what);
+        } else {
+            done(PromotionAnswer::NotDone, what);
+        }
+    });
+}
+
+} // namespace gentianplank::platform
--- a/gentianplank/standin/table_store_fake.h
+++ b/gentianplank/standin/table_store_fake.h
@@ -4,7 +4,7 @@
 //     store.loseNextAnswers(1);        // the next transaction takes effect but looks lost
 #pragma once
 
-#include "gentianplank/platform/table_store.h"
+#include "gentianplank/store/table_store.h"
 
 #include <memory>
 
--- a/gentianplank/standin/tables.h
+++ b/gentianplank/standin/tables.h
@@ -1,7 +1,7 @@
 // The table service's rows in memory.
 #pragma once
 
-#include "gentianplank/platform/table_store.h"
+#include "gentianplank/store/table_store.h"
 
 #include <map>
 #include <string>
--- a/gentianplank/platform/channel.cc
+++ b/gentianplank/store/channel.cc
@@ -1,4 +1,4 @@
-#include "gentianplank/platform/channel.h"
+#include "gentianplank/store/channel.h"
 
 #include <grpcpp/create_channel.h>
 #include <grpcpp/security/tls_certificate_provider.h>
--- a/gentianplank/platform/channel_test.cc
+++ b/gentianplank/store/channel_test.cc
@@ -1,6 +1,6 @@
-#include "gentianplank/platform/channel.h"
+#include "gentianplank/store/channel.h"
 
-#include "gentianplank/platform/testing/test_authority.h"
+#include "gentianplank/store/testing/test_authority.h"
 #include "gentianplank/proto/platform.grpc.pb.h"
 
 #include <boost/test/unit_test.hpp>
--- a/gentianplank/platform/counting_table_store.cc
+++ b/gentianplank/store/counting_table_store.cc
@@ -1,4 +1,4 @@
-#include "gentianplank/platform/counting_table_store.h"
+#include "gentianplank/store/counting_table_store.h"
 
 namespace gentianplank {
 
--- a/gentianplank/platform/counting_table_store.h
+++ b/gentianplank/store/counting_table_store.h
@@ -4,7 +4,7 @@
 //     const StoreCalls calls = store.calls();
 #pragma once
 
-#include "gentianplank/platform/table_store.h"
+#include "gentianplank/store/table_store.h"
 
 #include <atomic>
 #include <cstdint>
--- a/gentianplank/platform/grpc_platform.cc
+++ b/gentianplank/store/grpc_platform.cc
@@ -1,4 +1,4 @@
-#include "gentianplank/platform/grpc_platform.h"
+#include "gentianplank/store/grpc_platform.h"
 
 #include "gentianplank/proto/platform.grpc.pb.h"
 
--- a/gentianplank/platform/grpc_platform.h
+++ b/gentianplank/store/grpc_platform.h
@@ -4,9 +4,9 @@
 //     TableStore &store = platform.tables();
 #pragma once
 
-#include "gentianplank/platform/object_store.h"
-#include "gentianplank/platform/table_store.h"
-#include "gentianplank/platform/vm_list.h"
+#include "gentianplank/store/object_store.h"
+#include "gentianplank/store/table_store.h"
+#include "gentianplank/store/vm_list.h"
 
 #include <grpcpp/channel.h>
 
--- a/gentianplank/platform/object_store.h
+++ b/gentianplank/store/object_store.h
@@ -1,7 +1,7 @@
 // The platform's object store, which keeps configuration snapshots.
 #pragma once
 
-#include "gentianplank/platform/table_store.h"
+#include "gentianplank/store/table_store.h"
 
 #include <optional>
 
--- /dev/null
+++ b/gentianplank/store/table_follower.cc
@@ -0,0 +1,196 @@
+#include "gentianplank/store/table_follower.h"
+
+#include <algorithm>
+#include <set>
+
+namespace gentianplank {
+
+struct TableFollower::State : std::enable_shared_from_this<TableFollower::State>
+{
+    State(RowStore &rowStore, Scheduler runLater, std::string name, FollowSettings figures,
+          FollowListener callbacks)
+        : store(rowStore), scheduler(std::move(runLater)), table(std::move(name)),
+          settings(figures), listener(std::move(callbacks)), pause(figures.shortestPause)
+    {
+    }
+
+    // Reads the whole table, page by page. The rows of the first page were read first, so changes
+    // after its version are asked for next; applying one twice changes nothing.
+    void readAll()
+    {
+        pages.clear();
+        firstPageSentAt = bootNow();
+        readPage("");
+    }
+
+    void readPage(const std::string &from)
+    {
+        auto weak = weak_from_this();
+        store.read({table, from}, settings.wait + settings.patience,
+                   [weak](RowResult<RowSet> result) {
+                       if (auto self = weak.lock()) {
+                           self->takePage(std::move(result));
+                       }
+                   });
+    }
+
+    void takePage(RowResult<RowSet> result)
+    {
+        if (!result) {
+            retry(result.error().what);
+            return;
+        }
+        const bool isFirst = pages.empty();
+        if (isFirst) {
+            firstPageVersion = result->version;
+        }
+        const bool hasMore = result->hasMore && !result->rows.empty();
+        const std::string next = hasMore ? result->rows.back().key + '\0' : "";
+        pages.insert(pages.end(), result->rows.begin(), result->rows.end());
+        if (hasMore) {
+            readPage(next);
+            return;
+        }
+        replaceAll();
+        version = firstPageVersion;
+        prove(firstPageSentAt);
+        follow();
+    }
+
+    void replaceAll()
+    {
+        std::set<std::string> present;
+        for (const StoredRow &it : pages) {
+            present.insert(it.key);
+        }
+        std::vector<StoredRow> changes;
+        for (const auto &[key, row] : rows) {
+            if (present.count(key) == 0) {
+                changes.push_back({table, key, "", firstPageVersion, true});
+            }
+        }
+        changes.insert(changes.end(), pages.begin(), pages.end());
+        pages.clear();
+        apply(std::move(changes));
+    }
+
+    void follow()
+    {
+        auto weak = weak_from_this();
+        const BootInstant sentAt = bootNow();
+        store.changesAfter(table, version, settings.wait, settings.wait + settings.patience,
+                           [weak, sentAt](RowResult<RowSet> result) {
+                               if (auto self = weak.lock()) {
+                                   self->takeChanges(std::move(result), sentAt);
+                               }
+                           });
+    }
+
+    void takeChanges(RowResult<RowSet> result, BootInstant sentAt)
+    {
+        if (!result && result.error().fault == RowFault::HistoryGone) {
+            listener.onReachable(true, "the store dropped its history; the table is read again");
+            readAll();
+            return;
+        }
+        if (!result) {
+            retry(result.error().what);
+            return;
+        }
+        version = std::max(version, result->version);
+        apply(std::move(result->rows));
+        prove(sentAt);
+        follow();
+    }
+
+    void apply(std::vector<StoredRow> changes)
+    {
+        std::erase_if(changes, [this](const StoredRow &it) {
+            const auto known = rows.find(it.key);
+            if (known == rows.end()) {
+                return it.erased;
+            }
+            return it.version <= known->second.version;
+        });
+        for (const StoredRow &it : changes) {
+            if (it.erased) {
+                rows.erase(it.key);
+            } else {
+                rows[it.key] = it;
+            }
+        }
+        if (!changes.empty()) {
+            listener.onChanges(changes);
+        }
+    }
+
+    void prove(BootInstant at)
+    {
+        pause = settings.shortestPause;
+        provenAt = std::max(provenAt, at);
+        if (!isReachable) {
+            isReachable = true;
+            listener.onReachable(true, "table " + table + " is followed");
+        }
+        listener.onProof(provenAt);
+    }
+
+    void retry(const std::string &what)
+    {
+        if (isReachable) {
+            isReachable = false;
+            listener.onReachable(false, what);
+        }
+        auto weak = weak_from_this();
+        scheduler(pause, [weak] {
+            if (auto self = weak.lock()) {
+                if (self->version == 0) {
+                    self->readAll();
+                } else {
+                    self->follow();
+                }
+            }
+        });
+        pause = std::min(pause * 2, settings.longestPause);
+    }
+
+    RowStore &store;
+    Scheduler scheduler;
+    std::string table;
+    FollowSettings settings;
+    FollowListener listener;
+    Duration pause;
+    std::map<std::string, StoredRow> rows;
+    std::vector<StoredRow> pages;
+    uint64_t firstPageVersion = 0;
+    BootInstant firstPageSentAt{};
+    uint64_t version = 0;
+    BootInstant provenAt{};
+    bool isReachable = false;
+};
+
+TableFollower::TableFollower(RowStore &store, Scheduler scheduler, std::string table,
+                             FollowSettings settings, FollowListener listener)
+    : m_state(std::make_shared<State>(store, std::move(scheduler), std::move(table), settings,
+                                      std::move(listener)))
+{
+}
+
+TableFollower::~TableFollower() = default;
+
+void TableFollower::start()
+{
+    m_state->readAll();
+}
+
+const std::map<std::string, StoredRow> &TableFollower::rows() const
+{
+    return m_state->rows;
+}
+
+BootInstant TableFollower::provenAt() const
+{
+    return m_state->provenAt;
+}
+
+} // namespace gentianplank
--- /dev/null
+++ b/gentianplank/store/table_follower.h
@@ -0,0 +1,59 @@
+// Follows a table of the store: knows its rows, and since when it knows that nothing is missing.
+//
+//     TableFollower follower(store, timers, "vms", settings, listener);
+//     follower.start();
+//     follower.provenAt();       // all changes acknowledged before this moment are known
+#pragma once
+
+#include "gentianplank/store/row_store.h"
+
+#include <map>
+#include <memory>
+
+namespace gentianplank {
+
+// Runs `task` once, after `delay`, on the follower's thread.
+using Scheduler = std::function<void(Duration delay, std::function<void()> task)>;
+
+struct FollowSettings
+{
+    // How long the store waits for a change before it answers without one.
+    Duration wait = std::chrono::seconds(1);
+    // How much longer than `wait` an answer may take.
+    Duration patience = std::chrono::milliseconds(700);
+    Duration shortestPause = std::chrono::milliseconds(50);
+    Duration longestPause = std::chrono::milliseconds(400);
+};
+
+// What a follower tells. All calls come on its thread.
+struct FollowListener
+{
+    // Rows that were written or erased, in the order of their versions.
+    std::function<void(const std::vector<StoredRow> &)> onChanges;
+    // Nothing acknowledged before `provenAt` is missing. Called after onChanges.
+    std::function<void(BootInstant provenAt)> onProof;
+    // The store was lost or regained; `what` names the error.
+    std::function<void(bool isReachable, const std::string &what)> onReachable;
+};
+
+// Not thread-safe. Runs until it is destroyed.
+class TableFollower
+{
+public:
+    TableFollower(RowStore &store, Scheduler scheduler, std::string table, FollowSettings settings,
+                  FollowListener listener);
+    ~TableFollower();
+
+    void start();
+
+    const std::map<std::string, StoredRow> &rows() const;
+
+    // The epoch while nothing was read yet.
+    BootInstant provenAt() const;
+
+private:
+    struct State;
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace gentianplank
--- a/gentianplank/platform/testing/test_authority.cc
+++ b/gentianplank/store/testing/test_authority.cc
@@ -1,4 +1,4 @@
-#include "gentianplank/platform/testing/test_authority.h"
+#include "gentianplank/store/testing/test_authority.h"
 
 #include <cstdlib>
 #include <fstream>
--- a/gentianplank/platform/vm_list.h
+++ b/gentianplank/store/vm_list.h
@@ -1,7 +1,7 @@
 // The platform's lagging list of live and leaving VMs. A hint only: it is never proof.
 #pragma once
 
-#include "gentianplank/platform/table_store.h"
+#include "gentianplank/store/table_store.h"
 #include "gentianplank/zone/place.h"
 
 namespace gentianplank {
--- /dev/null
+++ b/gentianplank/target/group_record.cc
@@ -0,0 +1,45 @@
+#include "gentianplank/target/group_record.h"
+
+#include <nlohmann/json.hpp>
+
+namespace gentianplank {
+
+std::string encodeGroupRecord(const GroupRecord &record)
+{
+    return nlohmann::json{{"group", record.group},
+                          {"epoch", record.epoch},
+                          {"changing", record.phase == GroupPhase::Changing},
+                          {"primary", record.primary},
+                          {"primary_born_at", record.primaryBornAt},
+                          {"term", record.term},
+                          {"orderly", record.isOrderly},
+                          {"writer", record.writer}}
+        .dump();
+}
+
+tl::expected<GroupRecord, std::string> decodeGroupRecord(std::string_view text)
+{
+    try {
+        const auto json = nlohmann::json::parse(text);
+        GroupRecord record;
+        record.group = json.at("group").get<std::string>();
+        record.epoch = json.at("epoch").get<uint64_t>();
+        record.phase =
+            json.at("changing").get<bool>() ? GroupPhase::Changing : GroupPhase::Serving;
+        record.primary = json.at("primary").get<std::string>();
+        record.primaryBornAt = json.at("primary_born_at").get<int64_t>();
+        record.term = json.at("term").get<uint64_t>();
+        record.isOrderly = json.at("orderly").get<bool>();
+        record.writer = json.at("writer").get<std::string>();
+        return record;
+    } catch (const nlohmann::json::exception &error) {
+        return tl::make_unexpected(std::string(error.what()));
+    }
+}
+
+bool mayUsePrimary(const GroupRight &right, BootInstant now)
+{
+    return right.record.phase == GroupPhase::Serving && now - right.provenAt < PrimaryLease;
+}
+
+} // namespace gentianplank
--- a/gentianplank/target/member_connection.h
+++ b/gentianplank/target/member_connection.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "gentianplank/base/time.h"
-#include "gentianplank/platform/channel.h"
+#include "gentianplank/store/channel.h"
 #include "gentianplank/proto/target.pb.h"
 
 #include <tl/expected.hpp>
--- /dev/null
+++ b/gentianplank/vm/fleet_records.cc
@@ -0,0 +1,85 @@
+#include "gentianplank/vm/fleet_records.h"
+
+#include "gentianplank/base/rendezvous.h"
+
+#include <nlohmann/json.hpp>
+
+namespace gentianplank {
+
+namespace {
+
+template <typename Record, typename Read>
+tl::expected<Record, std::string> decode(std::string_view text, Read read)
+{
+    try {
+        const auto json = nlohmann::json::parse(text);
+        Record record;
+        read(json, record);
+        return record;
+    } catch (const nlohmann::json::exception &error) {
+        return tl::make_unexpected(std::string(error.what()));
+    }
+}
+
+} // namespace
+
+std::string encodeVmRecord(const VmRecord &record)
+{
+    return nlohmann::json{{"name", record.name},
+                          {"peer_address", record.peerAddress},
+                          {"zone", record.place.zone},
+                          {"region", record.place.region},
+                          {"incarnation", record.incarnation},
+                          {"leaving", record.isLeaving}}
+        .dump();
+}
+
+tl::expected<VmRecord, std::string> decodeVmRecord(std::string_view text)
+{
+    return decode<VmRecord>(text, [](const nlohmann::json &json, VmRecord &record) {
+        record.name = json.at("name").get<std::string>();
+        record.peerAddress = json.at("peer_address").get<std::string>();
+        record.place.zone = json.at("zone").get<std::string>();
+        record.place.region = json.at("region").get<std::string>();
+        record.incarnation = json.at("incarnation").get<uint64_t>();
+        record.isLeaving = json.at("leaving").get<bool>();
+    });
+}
+
+std::string encodeDutyRecord(const DutyRecord &record)
+{
+    return nlohmann::json{{"holder", record.holder}, {"incarnation", record.incarnation}}.dump();
+}
+
+tl::expected<DutyRecord, std::string> decodeDutyRecord(std::string_view text)
+{
+    return decode<DutyRecord>(text, [](const nlohmann::json &json, DutyRecord &record) {
+        record.holder = json.at("holder").get<std::string>();
+        record.incarnation = json.at("incarnation").get<uint64_t>();
+    });
+}
+
+std::vector<const VmRecord *> dispatchersFor(std::string_view memberId, const Place &memberPlace,
+                                             std::span<const VmRecord> vms)
+{
+    std::vector<const VmRecord *> ranked;
+    for (const Distance distance :
+         {Distance::SameZone, Distance::SameRegion, Distance::OtherRegion}) {
+        std::vector<std::string> names;
+        for (const VmRecord &it : vms) {
+            if (!it.isLeaving && distanceBetween(it.place, memberPlace) == distance) {
+                names.push_back(it.name);
+            }
+        }
+        for (const std::string &name : rankByRendezvous(memberId, names)) {
+            for (const VmRecord &it : vms) {
+                if (it.name == name) {
+                    ranked.push_back(&it);
+                }
+            }
+        }
+    }
+    return ranked;
+}
+
+} // namespace gentianplank
--- a/gentianplank/vm/member_log.h
+++ b/gentianplank/vm/member_log.h
@@ -6,7 +6,7 @@
 //     auto outcome = log.write(*list, withVm(*list, self), timeout);
 #pragma once
 
-#include "gentianplank/platform/table_store.h"
+#include "gentianplank/store/table_store.h"
 #include "gentianplank/proto/vm.pb.h"
 #include "gentianplank/vm/vm_directory.h"
 
