Keep serving while the store turns some VMs away

Ruled out: the refusals of the two VMs cut off, which are not owed. Now peers prove the records' epochs to a VM that has no young proof; a dispatcher without the right sends statements on to others; a holder without the store is silent; a full member is left alone for 150 ms; tokens of operations that no member ran return; one connection of a member is left for STATUS.

--- a/gentianplank/node/caller_session.cc
+++ b/gentianplank/node/caller_session.cc
@@ -28,6 +28,15 @@
 // Session values and prepared statements of one session; more are refused.
 constexpr size_t MostNames = 1000;
 
+// Whether a member may have run the statement.
+bool wasRun(const StatementOutcome &outcome)
+{
+    if (outcome.fate == StatementFate::Answered) {
+        return !outcome.code || !isPromise(*outcome.code);
+    }
+    return outcome.fate == StatementFate::Unknown;
+}
+
 std::string withHint(const std::string &reason, Duration retryAfter)
 {
     if (retryAfter <= Duration::zero()) {
@@ -313,6 +322,9 @@
     if (step.continuesTransaction && outcome.fate != StatementFate::Answered) {
         rollBackAtMember();
     }
+    if (!step.continuesTransaction && !wasRun(outcome)) {
+        environment.rates->refund(organisation);
+    }
     if (session.transaction == SessionTransaction::Running && !result.member.empty()) {
         transactionVm = result.vm;
         transactionMember = result.member;
--- a/gentianplank/node/control.cc
+++ b/gentianplank/node/control.cc
@@ -36,6 +36,9 @@
 constexpr Duration DutyCheckInterval = std::chrono::milliseconds(400);
 constexpr Duration DutyLost = std::chrono::milliseconds(1500);
 constexpr size_t DutyCandidates = 3;
+// Without word from the store for this long, the holder does not answer for the duty. The feed
+// answers every second.
+constexpr Duration DutyStoreSilence = std::chrono::milliseconds(1500);
 // A promotion is sent at most this long after the proof that the duty is held, and reset when it
 // has no answer after the second figure; whoever takes the duty over waits for both.
 constexpr Duration DutyProofAge = std::chrono::milliseconds(250);
@@ -787,7 +790,10 @@
         answer.mutable_probe_answer()->set_number(frame.probe().number());
         const auto member = members.find(frame.probe().member());
         if (member == members.end()) {
-            reply(answer);
+            // A holder of the duty that lost the store can't do it; silence lets others take it.
+            if (!frame.probe().member().empty() || bootNow() - proofs.fleet < DutyStoreSilence) {
+                reply(answer);
+            }
             return;
         }
         probeMember(ioContext, member->second.entry,
--- a/gentianplank/node/member_dispatcher.cc
+++ b/gentianplank/node/member_dispatcher.cc
@@ -25,8 +25,11 @@
 constexpr Duration StepTimeout = std::chrono::milliseconds(500);
 // How soon a member that could not be reached is tried again.
 constexpr Duration UnreachablePause = std::chrono::milliseconds(150);
-// How long a member that has too many connections is not asked for another.
-constexpr Duration TooManyPause = std::chrono::milliseconds(500);
+// How long a member that has too many connections is not asked for another. Asking takes a slot of
+// the member for about a tenth of this.
+constexpr Duration FullPause = std::chrono::milliseconds(150);
+// Connections left to the system itself, to ask a member for its status.
+constexpr uint32_t OwnConnections = 1;
 // A member that is silent for this long, with a statement to answer, is checked for life.
 constexpr Duration SuspiciousSilence = std::chrono::milliseconds(250);
 constexpr Duration LifeCheckTimeout = std::chrono::milliseconds(250);
@@ -252,6 +255,11 @@
         openLink(job);
         return;
     }
+    if (links.empty()) {
+        finish(job, notRun(ErrorCode::TooManyConnections, "the member has too many connections",
+                           FullPause));
+        return;
+    }
     // The turn goes to others meanwhile.
     active.remove(job);
     if (job->isInQueue) {
@@ -268,7 +276,7 @@
 // A connection became free or was closed.
 void MemberDispatcher::State::freed()
 {
-    if (!stalled.empty() && running() < entry.slots) {
+    for (size_t n = stalled.size(); n > 0 && !stalled.empty() && running() < entry.slots; --n) {
         const JobPointer job = stalled.front();
         stalled.pop_front();
         job->isBesideQueue = true;
@@ -307,7 +315,8 @@
 
 uint32_t MemberDispatcher::State::connectionCap(Instant now) const
 {
-    return now < fullUntil ? std::min(capWhileFull, limits.connections) : limits.connections;
+    const uint32_t cap = std::max(limits.connections, OwnConnections + 1) - OwnConnections;
+    return now < fullUntil ? std::min(capWhileFull, cap) : cap;
 }
 
 // Prefers a connection on which the session's values are in force already.
@@ -387,15 +396,10 @@
     job->link = nullptr;
     const Instant now = steadyNow();
     if (reply.code == ErrorCode::TooManyConnections) {
-        capWhileFull = std::max<uint32_t>(1, static_cast<uint32_t>(links.size()));
-        fullUntil = now + TooManyPause;
+        capWhileFull = static_cast<uint32_t>(links.size());
+        fullUntil = now + FullPause;
         logEvent("member.full", {{"member", entry.id}, {"own_connections", links.size()}});
-        if (!links.empty()) {
-            startNew(job);
-            return;
-        }
-        finish(job, notRun(ErrorCode::TooManyConnections, "the member has too many connections",
-                           TooManyPause));
+        startNew(job);
         return;
     }
     if (reply.code == ErrorCode::Busy) {
@@ -531,13 +535,13 @@
         } else {
             park(link, statement.organisation);
         }
-        finish(job, hasRight ? notRun(wasOpened || !statement.continuesTransaction
-                                          ? ErrorCode::Busy
-                                          : ErrorCode::Aborted,
-                                      "its time was over before it was sent", ShortestHint)
-                             : notRun(statement.continuesTransaction ? ErrorCode::Aborted
-                                                                     : ErrorCode::Busy,
-                                      "the group's primary changes", ShortestHint));
+        const ErrorCode code =
+            statement.continuesTransaction ? ErrorCode::Aborted : ErrorCode::Busy;
+        StatementOutcome outcome =
+            hasRight ? notRun(code, "its time was over before it was sent", ShortestHint)
+                     : notRun(code, "this VM may not use the group's primary now");
+        outcome.isUnreachable = !hasRight;
+        finish(job, std::move(outcome));
         return;
     }
     std::string text = statement.text;
--- a/gentianplank/node/peer_mesh.cc
+++ b/gentianplank/node/peer_mesh.cc
@@ -352,7 +352,7 @@
     return it == m_state->accepts.end() ? 0 : it->second;
 }
 
-void PeerMesh::tick()
+void PeerMesh::tick(bool needsProof)
 {
     const Instant now = steadyNow();
     std::vector<std::pair<std::string, std::string>> ended;
@@ -373,6 +373,7 @@
             peer.pingSentAt = bootNow();
             peer::v1::Frame frame;
             frame.mutable_ping()->set_number(++peer.pingNumber);
+            frame.mutable_ping()->set_needs_proof(needsProof);
             peer.link->send(frame);
         }
     }
--- a/gentianplank/node/peer_mesh.h
+++ b/gentianplank/node/peer_mesh.h
@@ -56,8 +56,9 @@
     // The number of the sessions that came over a link, for onRequest.
     uint64_t originOf(const std::shared_ptr<PeerLink> &link) const;
 
-    // Pings, and closes what is silent. Call it about every 50 ms.
-    void tick();
+    // Pings, and closes what is silent. Call it about every 50 ms. `needsProof`: peers are asked to
+    // prove the groups' records.
+    void tick(bool needsProof);
 
 private:
     struct State;
--- a/gentianplank/node/rate_exchange.cc
+++ b/gentianplank/node/rate_exchange.cc
@@ -23,6 +23,8 @@
 constexpr Duration AskTimeout = std::chrono::milliseconds(300);
 // Asking again where there was nothing.
 constexpr Duration EmptyPause = std::chrono::milliseconds(250);
+// After a refusal, all owners are told of the demand, so that each divides its part fairly.
+constexpr Duration ContestedFor = std::chrono::seconds(2);
 constexpr Duration ShortestHint = std::chrono::milliseconds(100);
 constexpr Duration LongestHint = std::chrono::seconds(1);
 constexpr size_t MostWaiting = 200;
@@ -47,6 +49,7 @@
     std::vector<std::string> owners;
     std::map<std::string, Ask> asks;
     std::deque<WaitingOperation> waiting;
+    Instant refusedAt{};
 };
 
 } // namespace
@@ -88,11 +91,17 @@
             distance == distances.end() || distance->second == Distance::OtherRegion;
         (isFar ? far : near).push_back(vm);
     }
-    const auto &chosen = near.empty() && organisation.rate.tokens < 1 ? far : near;
+    const bool isShort = near.empty() && organisation.rate.tokens < 1;
+    const bool isContested = now - organisation.refusedAt < ContestedFor;
+    std::vector<std::string> chosen = near;
+    if (isShort || isContested) {
+        chosen.insert(chosen.end(), far.begin(), far.end());
+    }
     for (const std::string &vm : chosen) {
         peer::v1::Frame frame;
         frame.mutable_rate_ask()->set_organisation(name);
         frame.mutable_rate_ask()->set_tokens(wanted / static_cast<double>(chosen.size()));
+        frame.mutable_rate_ask()->set_demand(organisation.rate.demand);
         if (environment.send(vm, frame)) {
             organisation.asks[vm].askedAt = now;
             organisation.asks[vm].isOutstanding = true;
@@ -130,6 +139,7 @@
         }
         const auto done = std::move(organisation.waiting.front().done);
         organisation.waiting.pop_front();
+        organisation.refusedAt = hasToken ? organisation.refusedAt : now;
         done(hasToken, hasToken ? Duration::zero() : hint(organisation));
     }
 }
@@ -161,6 +171,8 @@
     for (const auto &[name, limits] : view.routing->organisations) {
         const bool isNew = m_state->organisations.count(name) == 0;
         OrganisationState &organisation = m_state->organisations[name];
+        const bool isOther = isNew || organisation.limits.perSecond != limits.perSecond
+            || organisation.limits.burst != limits.burst;
         organisation.limits = limits;
         organisation.owners = rankByRendezvous("rate/" + name, names);
         if (organisation.owners.size() > MostOwners) {
@@ -173,6 +185,14 @@
         const RatePart part = isOwner ? RatePart{limits.perSecond / n, limits.burst / n} : RatePart{};
         const bool isFirst = isNew && !m_state->hasView;
         setPart(organisation.rate, part, now, isFirst ? firstDelay : PartDelay);
+        if (isOther) {
+            logEvent("rate.limit", {{"organisation", name},
+                                    {"revision", view.routing->revision},
+                                    {"per_second", static_cast<int64_t>(limits.perSecond)},
+                                    {"burst", static_cast<int64_t>(limits.burst)},
+                                    {"owners", organisation.owners.size()},
+                                    {"is_owner", isOwner}});
+        }
     }
     m_state->hasView = true;
 }
@@ -193,19 +213,29 @@
         return;
     }
     if (!State::hasOutstanding(state, now) || state.waiting.size() >= MostWaiting) {
+        state.refusedAt = now;
         done(false, State::hint(state));
         return;
     }
     state.waiting.push_back({now, std::move(done)});
 }
 
-double RateExchange::give(const std::string &organisation, double asked)
+void RateExchange::refund(const std::string &organisation)
+{
+    const auto it = m_state->organisations.find(organisation);
+    if (it != m_state->organisations.end()) {
+        receiveTokens(it->second.rate, 1, steadyNow());
+    }
+}
+
+double RateExchange::give(const std::string &vm, const std::string &organisation, double asked,
+                          double demand)
 {
     const auto it = m_state->organisations.find(organisation);
     if (it == m_state->organisations.end()) {
         return 0;
     }
-    return giveTokens(it->second.rate, asked, steadyNow());
+    return giveTokens(it->second.rate, vm, asked, demand, steadyNow());
 }
 
 void RateExchange::receive(const std::string &vm, const std::string &organisation, double tokens)
--- a/gentianplank/node/rate_exchange.h
+++ b/gentianplank/node/rate_exchange.h
@@ -36,8 +36,12 @@
     // other VMs have answered, after at most a tenth of a second.
     void admit(const std::string &organisation, AdmissionHandler done);
 
-    // Returns how many tokens this VM gives up to another.
-    double give(const std::string &organisation, double asked);
+    // Returns the token of an operation that no member ran.
+    void refund(const std::string &organisation);
+
+    // Returns how many tokens this VM gives up to `vm`, which needs `demand` a second.
+    double give(const std::string &vm, const std::string &organisation, double asked,
+                double demand);
 
     // Takes tokens that `vm` gave up.
     void receive(const std::string &vm, const std::string &organisation, double tokens);
--- a/gentianplank/node/traffic.cc
+++ b/gentianplank/node/traffic.cc
@@ -27,6 +27,9 @@
 // A key may be used this much less than the platform allows after its withdrawal: the checks of a
 // statement and its way take some of it.
 constexpr Duration RevocationMargin = std::chrono::milliseconds(300);
+// A VM whose own proof of the groups' records is older than this asks its peers for theirs. The
+// feed renews it every second.
+constexpr Duration ProofWanted = std::chrono::milliseconds(1300);
 // How long transactions may go on in an orderly change of their primary.
 constexpr Duration OrderlyPatience = std::chrono::milliseconds(400);
 // The balancer asks for readiness each second and leaves a VM alone after two misses; sessions
@@ -65,6 +68,7 @@
     bool isReady() const;
     std::optional<GroupRecord> usablePrimary(const std::string &group) const;
     bool mayUsePrimary(const std::string &group, uint64_t epoch) const;
+    GroupRight rightTo(const GroupRecord &record) const;
 
     std::shared_ptr<MemberDispatcher> dispatcherFor(const std::string &member);
     void updateDispatchers();
@@ -73,7 +77,7 @@
     void takeRequest(const std::shared_ptr<PeerLink> &link, const peer::v1::Frame &frame);
     void takeReply(const std::string &vm, const peer::v1::Frame &frame);
     void takePong(const peer::v1::Pong &pong, BootInstant sentAt);
-    peer::v1::Frame pong(uint64_t number) const;
+    peer::v1::Frame pong(const peer::v1::Ping &ping) const;
     void endTransaction(const std::string &vm, const std::string &member, uint64_t session);
 
     void release(const std::string &group, uint64_t epoch, bool isOrderly,
@@ -98,6 +102,8 @@
     std::shared_ptr<const FleetView> view = std::make_shared<FleetView>();
     FleetProofs proofs;
     bool wasProven = false;
+    // What peers proved: of a group, the epoch and up to when its record stood.
+    std::map<std::string, std::pair<uint64_t, BootInstant>> peerProofs;
     std::map<std::string, uint64_t> releasedEpochs;
     std::vector<EpochRelease> releases;
     std::map<std::string, std::shared_ptr<MemberDispatcher>> dispatchers;
@@ -228,7 +234,7 @@
 void Traffic::State::tick()
 {
     const Instant now = steadyNow();
-    mesh->tick();
+    mesh->tick(bootNow() - proofs.fleet > ProofWanted);
     rates->tick();
     router->tick();
     // A dispatcher's callbacks may add others.
@@ -268,7 +274,7 @@
     }
     const auto released = releasedEpochs.find(group);
     const bool isReleased = released != releasedEpochs.end() && it->second.epoch < released->second;
-    if (isReleased || !gentianplank::mayUsePrimary({it->second, proofs.fleet}, bootNow())) {
+    if (isReleased || !gentianplank::mayUsePrimary(rightTo(it->second), bootNow())) {
         return std::nullopt;
     }
     const auto member = view->members.find(it->second.primary);
@@ -281,13 +287,24 @@
     return it->second;
 }
 
+// The record with the youngest proof, this VM's own or a peer's.
+GroupRight Traffic::State::rightTo(const GroupRecord &record) const
+{
+    GroupRight right{record, proofs.fleet};
+    const auto it = peerProofs.find(record.group);
+    if (it != peerProofs.end() && it->second.first == record.epoch) {
+        right.provenAt = std::max(right.provenAt, it->second.second);
+    }
+    return right;
+}
+
 bool Traffic::State::mayUsePrimary(const std::string &group, uint64_t epoch) const
 {
     const auto it = view->groups.find(group);
     const auto released = releasedEpochs.find(group);
     return it != view->groups.end() && it->second.epoch == epoch
         && (released == releasedEpochs.end() || epoch >= released->second)
-        && gentianplank::mayUsePrimary({it->second, proofs.fleet}, bootNow());
+        && gentianplank::mayUsePrimary(rightTo(it->second), bootNow());
 }
 
 std::shared_ptr<MemberDispatcher> Traffic::State::dispatcherFor(const std::string &member)
@@ -392,7 +409,7 @@
             link->send(reply);
         });
     } else if (frame.has_ping()) {
-        link->send(pong(frame.ping().number()));
+        link->send(pong(frame.ping()));
     } else if (frame.has_end_transaction()) {
         const auto it = dispatchers.find(frame.end_transaction().member());
         if (it != dispatchers.end()) {
@@ -403,7 +420,8 @@
         peer::v1::Frame reply;
         reply.mutable_rate_grant()->set_organisation(frame.rate_ask().organisation());
         reply.mutable_rate_grant()->set_tokens(
-            rates->give(frame.rate_ask().organisation(), frame.rate_ask().tokens()));
+            rates->give(link->peerName(), frame.rate_ask().organisation(),
+                        frame.rate_ask().tokens(), frame.rate_ask().demand()));
         link->send(reply);
     } else {
         handler.onControlRequest(frame, [this, link](const peer::v1::Frame &reply) {
@@ -421,13 +439,22 @@
     handler.onControlReply(vm, frame);
 }
 
-peer::v1::Frame Traffic::State::pong(uint64_t number) const
+peer::v1::Frame Traffic::State::pong(const peer::v1::Ping &ping) const
 {
     peer::v1::Frame frame;
     peer::v1::Pong *pong = frame.mutable_pong();
-    pong->set_number(number);
+    pong->set_number(ping.number());
     pong->set_leaving(stoppingSince.has_value());
     const BootInstant now = bootNow();
+    for (const auto &[group, record] : view->groups) {
+        if (ping.needs_proof() && mayUsePrimary(group, record.epoch)) {
+            auto *it = pong->add_proofs();
+            it->set_group(group);
+            it->set_epoch(record.epoch);
+            it->set_age_ms(
+                static_cast<uint32_t>(toMilliseconds(now - rightTo(record).provenAt)) + 1);
+        }
+    }
     for (const auto &[id, dispatcher] : dispatchers) {
         if (!dispatcher->isIdle()) {
             auto *load = pong->add_loads();
@@ -456,6 +483,15 @@
         router->noteLoad(it.member(),
                          std::chrono::milliseconds(it.load().expected_wait_ms()));
     }
+    for (const auto &it : pong.proofs()) {
+        auto &known = peerProofs[it.group()];
+        const BootInstant provenAt = sentAt - std::chrono::milliseconds(it.age_ms());
+        if (it.epoch() > known.first) {
+            known = {it.epoch(), provenAt};
+        } else if (it.epoch() == known.first) {
+            known.second = std::max(known.second, provenAt);
+        }
+    }
     for (const auto &it : pong.samples()) {
         if (mayUsePrimary(it.group(), it.epoch())) {
             router->notePrimaryPosition(
--- a/gentianplank/organisation/shared_rate.cc
+++ b/gentianplank/organisation/shared_rate.cc
@@ -13,6 +13,8 @@
 // A VM asks for tokens when it has less than this much of its demand, up to the second figure.
 constexpr double LowSeconds = 0.15;
 constexpr double EnoughSeconds = 0.4;
+// A claim that was not made again for this long is dropped.
+constexpr Duration ClaimMemory = std::chrono::seconds(1);
 // One token over, so that the first statement after a pause need not wait.
 constexpr double Spare = 1.0;
 
@@ -21,13 +23,40 @@
     return std::max(0.0, static_cast<double>((to - from).count()) / MicrosecondsPerSecond);
 }
 
+// Sets a share of `filled` aside for each claim, by demand, and returns the rest.
+double reserve(SharedRate &rate, double filled, Instant now)
+{
+    std::erase_if(rate.claims, [&](auto &it) {
+        if (now - it.second.at < ClaimMemory) {
+            return false;
+        }
+        rate.tokens += it.second.reserved;
+        return true;
+    });
+    double demand = rate.demand;
+    for (const auto &[vm, claim] : rate.claims) {
+        demand += claim.demand;
+    }
+    double rest = filled;
+    for (auto &[vm, claim] : rate.claims) {
+        const double most = std::max(1.0, claim.demand * EnoughSeconds) - claim.reserved;
+        const double share = std::clamp(filled * claim.demand / demand, 0.0, std::max(0.0, most));
+        claim.reserved += share;
+        rest -= share;
+    }
+    return rest;
+}
+
 void fill(SharedRate &rate, Instant from, Instant to)
 {
-    // Tokens handed over may exceed the part's burst; they stay, but nothing is added.
-    if (rate.tokens < rate.part.burst) {
-        rate.tokens = std::min(rate.part.burst,
-                               rate.tokens + rate.part.perSecond * secondsBetween(from, to));
+    double held = rate.tokens;
+    for (const auto &[vm, claim] : rate.claims) {
+        held += claim.reserved;
     }
+    // Tokens handed over may exceed the part's burst; they stay, but nothing is added.
+    const double room = std::max(0.0, rate.part.burst - held);
+    const double filled = std::min(room, rate.part.perSecond * secondsBetween(from, to));
+    rate.tokens += reserve(rate, filled, to);
 }
 
 void advance(SharedRate &rate, Instant now)
@@ -43,6 +72,10 @@
     }
     fill(rate, rate.filledAt, now);
     rate.filledAt = now;
+    if (rate.clipAt <= now) {
+        rate.tokens = std::min(rate.tokens, rate.part.burst);
+        rate.clipAt = Instant::max();
+    }
 }
 
 void fadeDemand(SharedRate &rate, Instant now)
@@ -59,7 +92,12 @@
     const RatePart lower{std::min(rate.part.perSecond, part.perSecond),
                          std::min(rate.part.burst, part.burst)};
     rate.part = lower;
-    rate.tokens = std::min(rate.tokens, std::max(lower.burst, part.burst));
+    if (rate.tokens > part.burst) {
+        rate.clipAt = std::min(rate.clipAt, now + LoweringTime);
+    }
+    for (auto &[vm, claim] : rate.claims) {
+        claim.reserved = std::min(claim.reserved, part.burst);
+    }
     if (part == lower) {
         rate.nextAt = Instant::max();
         return;
@@ -97,14 +135,19 @@
     return rate.demand * EnoughSeconds + Spare - rate.tokens;
 }
 
-double giveTokens(SharedRate &rate, double asked, Instant now)
+double giveTokens(SharedRate &rate, const std::string &vm, double asked, double demand, Instant now)
 {
     advance(rate, now);
     fadeDemand(rate, now);
+    RateClaim &claim = rate.claims[vm];
+    claim.demand = std::max(0.0, demand);
+    claim.at = now;
+    const double reserved = std::clamp(claim.reserved, 0.0, std::max(0.0, asked));
+    claim.reserved -= reserved;
     const double spare = rate.tokens - rate.demand * LowSeconds;
-    const double given = std::clamp(spare, 0.0, std::max(0.0, asked));
+    const double given = std::clamp(spare, 0.0, std::max(0.0, asked - reserved));
     rate.tokens -= given;
-    return given;
+    return reserved + given;
 }
 
 void receiveTokens(SharedRate &rate, double tokens, Instant now)
--- a/gentianplank/organisation/shared_rate.h
+++ b/gentianplank/organisation/shared_rate.h
@@ -10,8 +10,15 @@
 
 #include "gentianplank/base/time.h"
 
+#include <map>
+#include <string>
+
 namespace gentianplank {
 
+// How long tokens of a higher limit may be used after it was lowered. Half of the shortest time in
+// which a lowered limit has to bind.
+inline constexpr Duration LoweringTime = std::chrono::seconds(2);
+
 // How much of an organisation's rate one VM fills by itself.
 struct RatePart
 {
@@ -21,6 +28,16 @@
     bool operator==(const RatePart &) const = default;
 };
 
+// Another VM's need of the part that this VM fills.
+struct RateClaim
+{
+    // Tokens that the VM asks for a second, as it said last, and when.
+    double demand = 0;
+    Instant at{};
+    // Set aside for it until it asks again.
+    double reserved = 0;
+};
+
 // What one VM knows of one organisation's rate. A plain value.
 struct SharedRate
 {
@@ -30,13 +47,18 @@
     Instant nextAt = Instant::max();
     double tokens = 0;
     Instant filledAt{};
+    // When tokens above the part's burst are lost.
+    Instant clipAt = Instant::max();
     // Tokens asked for a second, of late.
     double demand = 0;
     Instant demandAt{};
+    // By VM. What is filled while there are claims is divided by demand, so that of more operations
+    // than the rate allows, each VM admits the same share.
+    std::map<std::string, RateClaim> claims;
 };
 
-// Sets the VM's part. A part that shrinks does so at once, and tokens above the burst are lost; a
-// part that grows does so after `delay`, when every VM that filled it before has stopped.
+// Sets the VM's part. A part that shrinks fills less at once, and tokens above its burst are lost
+// after LoweringTime, so that an organisation may use what it had been allowed. A part that grows does so after `delay`, when every VM that filled it before has stopped.
 void setPart(SharedRate &rate, const RatePart &part, Instant now, Duration delay);
 
 // Takes one token if there is one. Counts as demand either way.
@@ -45,8 +67,10 @@
 // How many tokens the VM should ask others for; 0 when it has enough for a while.
 double tokensWanted(SharedRate &rate, Instant now);
 
-// Gives up at most `asked` tokens that the VM does not need itself, and returns how many.
-double giveTokens(SharedRate &rate, double asked, Instant now);
+// Gives up at most `asked` tokens to `vm`, which has that demand, and returns how many: what was set
+// aside for it, and what this VM does not need itself.
+double giveTokens(SharedRate &rate, const std::string &vm, double asked, double demand,
+                  Instant now);
 
 // Takes over tokens that another VM gave up.
 void receiveTokens(SharedRate &rate, double tokens, Instant now);
