--- a/gentianplank/base/event_log.cc
+++ b/gentianplank/base/event_log.cc
@@ -14,6 +14,7 @@
 #include <iostream>
 #include <map>
 #include <mutex>
+#include <thread>
 
 namespace gentianplank {
 
@@ -24,6 +25,9 @@
 // About one second of lines at their limit for a handful of events, at 200 bytes a line.
 constexpr size_t QueuedLines = 1000;
 
+// Lines are written together this often: a thread that logs wakes nobody.
+constexpr Duration WriteInterval = std::chrono::milliseconds(100);
+
 std::atomic<uint64_t> droppedLines{0};
 
 // Drops a record that finds the queue full, and counts it.
@@ -52,6 +56,8 @@
 {
     std::mutex mutex;
     boost::shared_ptr<EventSink> sink;
+    std::thread thread;
+    std::atomic<bool> isStopping{false};
     std::map<std::string, EventBudget, std::less<>> budgets;
     uint64_t reportedDrops = 0;
     int64_t reportedAt = 0;
@@ -115,9 +121,16 @@
     const std::lock_guard lock(state.mutex);
     auto backend = boost::make_shared<sinks::text_ostream_backend>();
     backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, [](std::ostream *) {}));
-    backend->auto_flush(true);
-    state.sink = boost::make_shared<EventSink>(backend);
+    state.sink = boost::make_shared<EventSink>(backend, boost::log::keywords::start_thread = false);
     boost::log::core::get()->add_sink(state.sink);
+    state.isStopping = false;
+    state.thread = std::thread([&state, sink = state.sink] {
+        while (!state.isStopping) {
+            std::this_thread::sleep_for(WriteInterval);
+            sink->feed_records();
+            sink->flush();
+        }
+    });
 }
 
 void stopEventLog()
@@ -130,7 +143,9 @@
     }
     if (sink) {
         boost::log::core::get()->remove_sink(sink);
-        sink->stop();
+        state.isStopping = true;
+        state.thread.join();
+        sink->feed_records();
         sink->flush();
     }
 }
--- a/gentianplank/node/control.cc
+++ b/gentianplank/node/control.cc
@@ -23,10 +23,11 @@
 namespace {
 
 // How long the store waits before it answers a feed without changes. The configuration's proof
-// lasts 4.7 s and the primaries' 3 s; each must be renewed in time though one answer is late.
-constexpr Duration ConfigurationWait = std::chrono::milliseconds(1900);
-constexpr Duration FleetWait = std::chrono::milliseconds(1000);
-constexpr Duration MemberWait = std::chrono::milliseconds(3000);
+// lasts 4.7 s and the primaries' 3 s; each must be renewed in time though one answer is lost, which
+// shows 0.7 s after it was due. Members that leave must be known within 7 s.
+constexpr Duration ConfigurationWait = std::chrono::milliseconds(2900);
+constexpr Duration FleetWait = std::chrono::milliseconds(1800);
+constexpr Duration MemberWait = std::chrono::milliseconds(4000);
 constexpr Duration StoreTimeout = std::chrono::milliseconds(1500);
 constexpr Duration StoreRetryPause = std::chrono::milliseconds(200);
 // Entries that lapsed with the store are back within two seconds of its return.
@@ -36,9 +37,9 @@
 constexpr Duration DutyCheckInterval = std::chrono::milliseconds(400);
 constexpr Duration DutyLost = std::chrono::milliseconds(1500);
 constexpr size_t DutyCandidates = 3;
-// Without word from the store for this long, the holder does not answer for the duty. The feed
-// answers every second.
-constexpr Duration DutyStoreSilence = std::chrono::milliseconds(1500);
+// Without word from the store for this long, the holder does not answer for the duty: longer than
+// the feed's wait.
+constexpr Duration DutyStoreSilence = std::chrono::milliseconds(2300);
 // A promotion is sent at most this long after the proof that the duty is held, and reset when it
 // has no answer after the second figure; whoever takes the duty over waits for both.
 constexpr Duration DutyProofAge = std::chrono::milliseconds(250);
@@ -136,6 +137,7 @@
     HttpCaller storeCaller;
     HttpCaller promotionCaller;
     platform::HttpRowStore store;
+    StoreClock storeClock;
     asio::steady_timer tickTimer;
     Traffic *traffic = nullptr;
     std::thread thread;
@@ -157,6 +159,7 @@
     bool isRegistered = false;
     bool wasKnownBefore = false;
     bool isLeaving = false;
+    bool isHandedOver = false;
 
     DutyRecord duty;
     uint64_t dutyVersion = 0;
@@ -202,7 +205,7 @@
     FollowSettings figures;
     figures.wait = ConfigurationWait;
     configurationFollower = std::make_unique<TableFollower>(
-        store, scheduler, platform::OperatorTable, figures,
+        store, storeClock, scheduler, platform::OperatorTable, figures,
         listenerOf(platform::OperatorTable,
                    [this](const std::vector<StoredRow> &rows) { takeConfiguration(rows); },
                    [this](BootInstant at) {
@@ -211,13 +214,13 @@
                    }));
     figures.wait = MemberWait;
     memberFollower = std::make_unique<TableFollower>(
-        store, scheduler, platform::MemberTable, figures,
+        store, storeClock, scheduler, platform::MemberTable, figures,
         listenerOf(platform::MemberTable,
                    [this](const std::vector<StoredRow> &rows) { takeMembers(rows); },
                    [this](BootInstant at) { memberProof = at; }));
     figures.wait = FleetWait;
     fleetFollower = std::make_unique<TableFollower>(
-        store, scheduler, FleetTable, figures,
+        store, storeClock, scheduler, FleetTable, figures,
         listenerOf(FleetTable, [this](const std::vector<StoredRow> &rows) { takeFleet(rows); },
                    [this](BootInstant at) {
                        proofs.fleet = at;
@@ -438,7 +441,7 @@
     if (!isRegistered && fleetFollower->provenAt() != BootInstant{}) {
         registerVm();
     }
-    if (isRegistered && !isLeaving) {
+    if (isRegistered && !isHandedOver) {
         considerDuty();
         if (holdsDuty()) {
             superviseGroups();
@@ -471,7 +474,7 @@
 // Takes the duty when its holder is gone and this VM is next in line.
 void Control::State::considerDuty()
 {
-    if (holdsDuty() || isTakingDuty) {
+    if (holdsDuty() || isTakingDuty || isLeaving) {
         return;
     }
     const BootInstant now = bootNow();
@@ -791,7 +794,9 @@
         const auto member = members.find(frame.probe().member());
         if (member == members.end()) {
             // A holder of the duty that lost the store can't do it; silence lets others take it.
-            if (!frame.probe().member().empty() || bootNow() - proofs.fleet < DutyStoreSilence) {
+            const bool hasStore = fleetFollower->isReachable()
+                && bootNow() - proofs.fleet < DutyStoreSilence;
+            if (!frame.probe().member().empty() || hasStore) {
                 reply(answer);
             }
             return;
@@ -879,6 +884,13 @@
         state->isLeaving = true;
         logEvent("vm.leaving", {{"vm", state->settings.name}});
         state->traffic->stop();
+    });
+}
+
+void Control::handOver()
+{
+    asio::post(m_state->ioContext, [state = m_state] {
+        state->isHandedOver = true;
         state->storeVmRow(true, [](bool stored) {
             logEvent("vm.leaving_stored", {{"stored", stored}});
         });
--- a/gentianplank/node/control.h
+++ b/gentianplank/node/control.h
@@ -29,9 +29,12 @@
     // Starts the thread. `traffic` must outlive this object and be started.
     void start(Traffic &traffic);
 
-    // Tells the fleet that this VM stops, hands the duty over, and stops the traffic thread's work.
+    // Hands the duty over and stops the traffic thread's work.
     void leave();
 
+    // Tells the fleet that this VM takes no new work.
+    void handOver();
+
     // Ends the thread.
     void join();
 
--- a/gentianplank/node/member_dispatcher.cc
+++ b/gentianplank/node/member_dispatcher.cc
@@ -37,6 +37,9 @@
 constexpr Duration SparePause = std::chrono::seconds(1);
 // A statement must have this much left to be worth starting.
 constexpr Duration LeastTime = std::chrono::milliseconds(5);
+// To a far member this many statements are under way for each of its slots: of a way of 40 ms and
+// statements of 10 to 25 ms, a third is spent in the slot. What comes early waits at the member.
+constexpr uint32_t FarStatementsPerSlot = 3;
 constexpr Duration ShortestHint = std::chrono::milliseconds(20);
 
 struct Job
@@ -101,6 +104,7 @@
     void freed();
     void expireWaiting(Instant now);
     size_t running() const { return queue.running.size() + besideQueue; }
+    size_t mostRunning() const { return entry.slots * (limits.isFar ? FarStatementsPerSlot : 1); }
 
     // Connections.
     std::shared_ptr<MemberLink> takeIdle(const Job &job);
@@ -198,14 +202,14 @@
     }
     isPumping = true;
     const Instant now = steadyNow();
-    while (running() < entry.slots) {
+    while (running() < mostRunning()) {
         if (!continuing.empty()) {
             const JobPointer job = continuing.front();
             continuing.pop_front();
             continueTransaction(job);
             continue;
         }
-        queue.slots = static_cast<uint32_t>(entry.slots - std::min<size_t>(besideQueue, entry.slots));
+        queue.slots = static_cast<uint32_t>(mostRunning() - std::min(besideQueue, mostRunning()));
         const auto number = next(queue, now);
         if (!number) {
             break;
@@ -276,7 +280,7 @@
 // A connection became free or was closed.
 void MemberDispatcher::State::freed()
 {
-    for (size_t n = stalled.size(); n > 0 && !stalled.empty() && running() < entry.slots; --n) {
+    for (size_t n = stalled.size(); n > 0 && !stalled.empty() && running() < mostRunning(); --n) {
         const JobPointer job = stalled.front();
         stalled.pop_front();
         job->isBesideQueue = true;
--- a/gentianplank/node/member_dispatcher.h
+++ b/gentianplank/node/member_dispatcher.h
@@ -33,6 +33,8 @@
 {
     // Connections to the member from all callers together.
     uint32_t connections = 1;
+    // The way to the member and back takes longer than its usual statement.
+    bool isFar = false;
     // A transaction without statements for this long is rolled back.
     Duration transactionIdle = std::chrono::seconds(3);
 
--- a/gentianplank/node/traffic.cc
+++ b/gentianplank/node/traffic.cc
@@ -28,13 +28,15 @@
 // statement and its way take some of it.
 constexpr Duration RevocationMargin = std::chrono::milliseconds(300);
 // A VM whose own proof of the groups' records is older than this asks its peers for theirs. The
-// feed renews it every second.
-constexpr Duration ProofWanted = std::chrono::milliseconds(1300);
+// feed renews it every 1.8 s.
+constexpr Duration ProofWanted = std::chrono::milliseconds(2000);
 // How long transactions may go on in an orderly change of their primary.
 constexpr Duration OrderlyPatience = std::chrono::milliseconds(400);
 // The balancer asks for readiness each second and leaves a VM alone after two misses; sessions
 // closed earlier would come back.
 constexpr Duration BalancerPause = std::chrono::milliseconds(2300);
+// A stopping VM dispatches for its members this long: another one may be far from them.
+constexpr Duration HandOverPause = std::chrono::milliseconds(1800);
 // Descriptors for peers, members, the store and logs; callers get the rest.
 constexpr uint32_t ReservedDescriptors = 700;
 // A leaving member gets no new work this much before the platform's limit.
@@ -71,6 +73,7 @@
     GroupRight rightTo(const GroupRecord &record) const;
 
     std::shared_ptr<MemberDispatcher> dispatcherFor(const std::string &member);
+    DispatcherLimits dispatcherLimits(const MemberInView &member) const;
     void updateDispatchers();
     void executeHere(const ForwardedStatement &statement, OutcomeHandler done);
     void execute(const std::string &vm, const ForwardedStatement &statement, OutcomeHandler done);
@@ -110,6 +113,8 @@
     std::map<uint64_t, std::shared_ptr<CallerSession>> sessions;
     uint64_t nextSession = 1;
     std::optional<Instant> stoppingSince;
+    // Other VMs dispatch for the members of this one.
+    bool isHandedOver = false;
     bool hasStopped = false;
     std::thread thread;
 };
@@ -176,7 +181,7 @@
         return usablePrimary(group);
     };
     routerEnvironment.isReachable = [this](const std::string &vm) {
-        return vm == settings.name ? !stoppingSince : mesh->isReachable(vm);
+        return vm == settings.name ? !isHandedOver : mesh->isReachable(vm);
     };
     routerEnvironment.execute = [this](const std::string &vm, const ForwardedStatement &statement,
                                        OutcomeHandler done) {
@@ -317,7 +322,6 @@
     if (it == view->members.end() || !view->routing) {
         return nullptr;
     }
-    const GroupLimits *group = view->routing->group(it->second.entry.group);
     DispatcherEnvironment environment;
     environment.mayUsePrimary = [this](const std::string &name, uint64_t epoch) {
         return mayUsePrimary(name, epoch);
@@ -332,12 +336,23 @@
     environment.onConnection = [this] { metrics.countConnection(); };
     auto dispatcher = std::make_shared<MemberDispatcher>(
         ioContext, std::move(environment), it->second.entry,
-        DispatcherLimits{group == nullptr ? 1 : group->connectionLimit,
-                         view->routing->limits.transactionIdle});
+        dispatcherLimits(it->second));
     dispatchers[member] = dispatcher;
     return dispatcher;
 }
 
+DispatcherLimits Traffic::State::dispatcherLimits(const MemberInView &member) const
+{
+    DispatcherLimits limits;
+    if (view->routing) {
+        const GroupLimits *group = view->routing->group(member.entry.group);
+        limits.connections = group == nullptr ? 1 : group->connectionLimit;
+        limits.transactionIdle = view->routing->limits.transactionIdle;
+    }
+    limits.isFar = distanceBetween(member.place, settings.place) == Distance::OtherRegion;
+    return limits;
+}
+
 void Traffic::State::updateDispatchers()
 {
     for (auto it = dispatchers.begin(); it != dispatchers.end();) {
@@ -348,15 +363,10 @@
             dispatcher->close("the member is gone");
             continue;
         }
-        const GroupLimits *group =
-            view->routing ? view->routing->group(member->second.entry.group) : nullptr;
-        it->second->update(member->second.entry,
-                           {group == nullptr ? 1 : group->connectionLimit,
-                            view->routing ? view->routing->limits.transactionIdle
-                                          : Duration(std::chrono::seconds(3))});
+        it->second->update(member->second.entry, dispatcherLimits(member->second));
         const auto ranked = dispatchersFor(it->first, member->second.place, view->vms);
         it->second->setFirstChoice(!ranked.empty() && ranked.front()->name == settings.name
-                                   && !stoppingSince);
+                                   && !isHandedOver);
         ++it;
     }
 }
@@ -368,7 +378,7 @@
         done(unreachable("this VM does not know the member " + statement.member));
         return;
     }
-    if (stoppingSince && !statement.continuesTransaction) {
+    if (isHandedOver && !statement.continuesTransaction) {
         done(unreachable("this VM stops"));
         return;
     }
@@ -444,7 +454,7 @@
     peer::v1::Frame frame;
     peer::v1::Pong *pong = frame.mutable_pong();
     pong->set_number(ping.number());
-    pong->set_leaving(stoppingSince.has_value());
+    pong->set_leaving(isHandedOver);
     const BootInstant now = bootNow();
     for (const auto &[group, record] : view->groups) {
         if (ping.needs_proof() && mayUsePrimary(group, record.epoch)) {
@@ -561,6 +571,11 @@
         return;
     }
     const Duration since = now - *stoppingSince;
+    if (since > HandOverPause && !isHandedOver) {
+        isHandedOver = true;
+        updateDispatchers();
+        handler.onHandOver();
+    }
     if (since > settings.grace / 2) {
         for (const auto &[number, session] : sessions) {
             session->abortTransaction("this VM stops");
@@ -653,7 +668,6 @@
     asio::post(m_state->ioContext, [state = m_state] {
         if (!state->stoppingSince) {
             state->stoppingSince = steadyNow();
-            state->updateDispatchers();
         }
     });
 }
--- a/gentianplank/platform/http_row_store.cc
+++ b/gentianplank/platform/http_row_store.cc
@@ -86,6 +86,7 @@
         set.rows = decodeRows(json);
         set.version = json.at("row-version").get<uint64_t>();
         set.hasMore = json.value("has-more", false);
+        set.storeTime = std::chrono::milliseconds(json.at("now-ms").get<int64_t>());
         return set;
     } catch (const Json::exception &error) {
         return tl::make_unexpected(RowError{RowFault::BadAnswer, error.what(), {}});
--- a/gentianplank/store/row_store.h
+++ b/gentianplank/store/row_store.h
@@ -41,13 +41,15 @@
     std::vector<RowCondition> erasures;
 };
 
-// Rows as of one moment that is not before the call was sent.
+// Rows as of the moment of the answer, which is not before the call was sent.
 struct RowSet
 {
     std::vector<StoredRow> rows;
     // The store's newest version at that moment.
     uint64_t version = 0;
     bool hasMore = false;
+    // The store's steady clock when it answered.
+    Duration storeTime{0};
 };
 
 enum class RowFault {
--- /dev/null
+++ b/gentianplank/store/store_clock_test.cc
@@ -0,0 +1,3 @@
+#include <boost/test/unit_test.hpp>
+
+BOOST_AUTO_TEST_CASE(placeholder) {}
--- a/gentianplank/store/table_follower.cc
+++ b/gentianplank/store/table_follower.cc
@@ -7,9 +7,9 @@
 
 struct TableFollower::State : std::enable_shared_from_this<TableFollower::State>
 {
-    State(RowStore &rowStore, Scheduler runLater, std::string name, FollowSettings figures,
+    State(RowStore &rowStore, StoreClock &storeClock, Scheduler runLater, std::string name, FollowSettings figures,
           FollowListener callbacks)
-        : store(rowStore), scheduler(std::move(runLater)), table(std::move(name)),
+        : store(rowStore), clock(storeClock), scheduler(std::move(runLater)), table(std::move(name)),
           settings(figures), listener(std::move(callbacks)), pause(figures.shortestPause)
     {
     }
@@ -43,6 +43,8 @@
         const bool isFirst = pages.empty();
         if (isFirst) {
             firstPageVersion = result->version;
+            firstPageAt =
+                answeredNotBefore(clock, firstPageSentAt, result->storeTime, bootNow());
         }
         const bool hasMore = result->hasMore && !result->rows.empty();
         const std::string next = hasMore ? result->rows.back().key + '\0' : "";
@@ -53,7 +55,7 @@
         }
         replaceAll();
         version = firstPageVersion;
-        prove(firstPageSentAt);
+        prove(firstPageAt);
         follow();
     }
 
@@ -98,8 +100,9 @@
             return;
         }
         version = std::max(version, result->version);
+        const BootInstant at = answeredNotBefore(clock, sentAt, result->storeTime, bootNow());
         apply(std::move(result->rows));
-        prove(sentAt);
+        prove(at);
         follow();
     }
 
@@ -155,6 +158,7 @@
     }
 
     RowStore &store;
+    StoreClock &clock;
     Scheduler scheduler;
     std::string table;
     FollowSettings settings;
@@ -164,14 +168,15 @@
     std::vector<StoredRow> pages;
     uint64_t firstPageVersion = 0;
     BootInstant firstPageSentAt{};
+    BootInstant firstPageAt{};
     uint64_t version = 0;
     BootInstant provenAt{};
     bool isReachable = false;
 };
 
-TableFollower::TableFollower(RowStore &store, Scheduler scheduler, std::string table,
-                             FollowSettings settings, FollowListener listener)
-    : m_state(std::make_shared<State>(store, std::move(scheduler), std::move(table), settings,
+TableFollower::TableFollower(RowStore &store, StoreClock &clock, Scheduler scheduler,
+                             std::string table, FollowSettings settings, FollowListener listener)
+    : m_state(std::make_shared<State>(store, clock, std::move(scheduler), std::move(table), settings,
                                       std::move(listener)))
 {
 }
@@ -193,4 +198,9 @@
     return m_state->provenAt;
 }
 
+bool TableFollower::isReachable() const
+{
+    return m_state->isReachable;
+}
+
 } // namespace gentianplank
--- a/gentianplank/store/table_follower.h
+++ b/gentianplank/store/table_follower.h
@@ -1,11 +1,12 @@
 // Follows a table of the store: knows its rows, and since when it knows that nothing is missing.
 //
-//     TableFollower follower(store, timers, "vms", settings, listener);
+//     TableFollower follower(store, clock, scheduler, "vms", settings, listener);
 //     follower.start();
 //     follower.provenAt();       // all changes acknowledged before this moment are known
 #pragma once
 
 #include "gentianplank/store/row_store.h"
+#include "gentianplank/store/store_clock.h"
 
 #include <map>
 #include <memory>
@@ -40,8 +41,9 @@
 class TableFollower
 {
 public:
-    TableFollower(RowStore &store, Scheduler scheduler, std::string table, FollowSettings settings,
-                  FollowListener listener);
+    // `clock` may be shared by followers of one store, and outlives them.
+    TableFollower(RowStore &store, StoreClock &clock, Scheduler scheduler, std::string table,
+                  FollowSettings settings, FollowListener listener);
     ~TableFollower();
 
     void start();
@@ -51,6 +53,9 @@
     // The epoch while nothing was read yet.
     BootInstant provenAt() const;
 
+    // Whether the last call succeeded.
+    bool isReachable() const;
+
 private:
     struct State;
     std::shared_ptr<State> m_state;
