--- a/gentianplank/node/forwarded_statement.h
+++ b/gentianplank/node/forwarded_statement.h
@@ -35,7 +35,11 @@
     bool opensTransaction = false;
     bool continuesTransaction = false;
     bool readsOnly = false;
+    // What the member's log must hold: the session's own commit.
     std::optional<LogPosition> after;
+    // Of a read at a replica: it must see every commit that was acknowledged longer than this
+    // before the dispatcher received it.
+    std::optional<Duration> freshness;
     std::map<std::string, std::string> values;
     std::optional<PreparedStatement> prepared;
     // What is left of the statement's time.
--- a/gentianplank/node/member_dispatcher.cc
+++ b/gentianplank/node/member_dispatcher.cc
@@ -34,6 +34,7 @@
 constexpr Duration SuspiciousSilence = std::chrono::milliseconds(250);
 constexpr Duration LifeCheckTimeout = std::chrono::milliseconds(250);
 // A VM that need not dispatch keeps idle connections this long, in case it is asked again.
+constexpr Duration PositionsWanted = std::chrono::seconds(2);
 constexpr Duration SparePause = std::chrono::seconds(1);
 // A statement must have this much left to be worth starting.
 constexpr Duration LeastTime = std::chrono::milliseconds(5);
@@ -155,7 +156,7 @@
     Instant lastReplyAt{};
     bool isCheckingLife = false;
     bool isFirstChoice = true;
-    std::optional<LogPosition> lastPosition;
+    Instant positionsNeededAt{};
 };
 
 // Takes a new statement in, or the next one of a transaction.
@@ -576,9 +577,6 @@
 {
     const ForwardedStatement &statement = job->statement;
     lastReplyAt = steadyNow();
-    if (reply.position) {
-        lastPosition = reply.position;
-    }
     if (reply.code == ErrorCode::NoStatement && statement.prepared && !job->wasPreparedAgain
         && reply.state != TransactionState::Failed && !statement.opensTransaction) {
         job->wasPreparedAgain = true;
@@ -756,6 +754,16 @@
 void MemberDispatcher::execute(ForwardedStatement statement, OutcomeHandler done)
 {
     m_state->self = weak_from_this();
+    if (statement.freshness) {
+        m_state->positionsNeededAt = steadyNow();
+        const auto position = m_state->environment.positionCovering(
+            statement.group, bootNow() - *statement.freshness);
+        if (!position) {
+            done(notRun(ErrorCode::Lagging, "no position of the primary is fresh enough"));
+            return;
+        }
+        statement.after = std::max(*position, statement.after.value_or(LogPosition{}));
+    }
     auto job = std::make_shared<Job>();
     job->number = m_state->nextNumber++;
     job->arrivedAt = steadyNow();
@@ -859,9 +867,9 @@
     return gentianplank::expectedWait(m_state->queue, "", 1);
 }
 
-std::optional<LogPosition> MemberDispatcher::position() const
+bool MemberDispatcher::needsPositions() const
 {
-    return m_state->lastPosition;
+    return steadyNow() - m_state->positionsNeededAt < PositionsWanted;
 }
 
 bool MemberDispatcher::isIdle() const
--- a/gentianplank/node/member_dispatcher.h
+++ b/gentianplank/node/member_dispatcher.h
@@ -25,6 +25,9 @@
     // The primary of the epoch answered, and its right to lead stood when it did.
     std::function<void(const std::string &group, uint64_t epoch, const PositionSample &sample)>
         onPrimaryPosition;
+    // The lowest position that covers every commit of the group acknowledged before `before`.
+    std::function<std::optional<LogPosition>(const std::string &group, BootInstant before)>
+        positionCovering;
     // A connection to a member was opened.
     std::function<void()> onConnection;
 };
@@ -67,6 +70,9 @@
     // Breaks those off. What ran last of each has an unknown outcome, or none.
     void breakPrimaryUseBelow(uint64_t epoch);
 
+    // Whether reads came of late that need positions of the group's primary.
+    bool needsPositions() const;
+
     // Whether this VM is the one that should dispatch for the member. Another one gives its idle
     // connections up.
     void setFirstChoice(bool isFirst);
@@ -77,9 +83,8 @@
     // Ends what has waited or rested too long. Call it about every 50 ms.
     void tick();
 
-    // What a new statement would wait, and the position that the member was last seen at.
+    // What a new statement would wait.
     Duration expectedWait() const;
-    std::optional<LogPosition> position() const;
     // Whether statements wait, run, or hold a transaction open.
     bool isIdle() const;
 
--- a/gentianplank/node/peer_mesh.cc
+++ b/gentianplank/node/peer_mesh.cc
@@ -14,9 +14,17 @@
 
 // A way to another region and back takes 40 ms; a lost packet is sent again after 200 ms or so.
 constexpr Duration ConnectTimeout = std::chrono::milliseconds(600);
-constexpr Duration PingInterval = std::chrono::milliseconds(300);
-// A link that brought nothing for this long, though pinged, is given up.
-constexpr Duration LongestSilence = std::chrono::milliseconds(900);
+// A peer that owes answers and is silent for this long is pinged: longer than most statements take.
+constexpr Duration OwingSilence = std::chrono::milliseconds(200);
+// A link in use that brought nothing for this long is pinged.
+constexpr Duration RestingSilence = std::chrono::seconds(2);
+constexpr Duration PingInterval = std::chrono::milliseconds(200);
+// A link that brought nothing for this long after a ping is given up: several times the way to
+// another region and back, and time for a lost packet to be sent again.
+constexpr Duration LongestSilence = std::chrono::milliseconds(650);
+// How often each of a few peers is asked for proofs.
+constexpr Duration ProofInterval = std::chrono::milliseconds(500);
+constexpr int ProvingPeers = 3;
 // A peer that could not be reached is not tried for this long.
 constexpr Duration FailurePause = std::chrono::milliseconds(250);
 // Links that carried no statement for this long are not pinged, and are closed.
@@ -35,6 +43,10 @@
     Instant failedUntil{};
     Instant heardAt{};
     Instant pingedAt{};
+    // Since when a ping is unanswered; the epoch when none is.
+    Instant unansweredSince{};
+    Instant calledAt{};
+    uint32_t callsOwed = 0;
     Instant usedAt{};
     uint64_t pingNumber = 0;
     BootInstant pingSentAt{};
@@ -61,6 +73,7 @@
     void accept();
     void accepted(asio::ip::tcp::socket socket);
     void dropPeer(Peer &peer, const std::string &reason);
+    void ping(Peer &peer, Instant now, bool needsProof) const;
 
     asio::io_context &ioContext;
     std::string ownName;
@@ -135,6 +148,8 @@
         return;
     }
     it->second.link = nullptr;
+    it->second.callsOwed = 0;
+    it->second.unansweredSince = {};
     it->second.failedUntil = steadyNow() + FailurePause;
     if (!it->second.wasLost) {
         it->second.wasLost = true;
@@ -163,12 +178,16 @@
     const auto it = peers.find(vm);
     if (it != peers.end()) {
         it->second.heardAt = steadyNow();
+        it->second.unansweredSince = {};
     }
     if (frame.has_answer()) {
         const auto call = calls.find(frame.answer().call());
         if (call != calls.end()) {
             const OutcomeHandler done = std::move(call->second.done);
             calls.erase(call);
+            if (it != peers.end() && it->second.callsOwed > 0) {
+                --it->second.callsOwed;
+            }
             done(fromWire(frame.answer()));
         }
         return;
@@ -326,6 +345,8 @@
         return;
     }
     it->second.usedAt = steadyNow();
+    it->second.calledAt = it->second.usedAt;
+    ++it->second.callsOwed;
     const uint64_t number = m_state->nextCall++;
     m_state->calls[number] = {vm, std::move(done)};
     peer::v1::Frame frame;
@@ -352,9 +373,23 @@
     return it == m_state->accepts.end() ? 0 : it->second;
 }
 
+void PeerMesh::State::ping(Peer &peer, Instant now, bool needsProof) const
+{
+    peer.pingedAt = now;
+    peer.pingSentAt = bootNow();
+    if (peer.unansweredSince == Instant{}) {
+        peer.unansweredSince = now;
+    }
+    peer::v1::Frame frame;
+    frame.mutable_ping()->set_number(++peer.pingNumber);
+    frame.mutable_ping()->set_needs_proof(needsProof);
+    peer.link->send(frame);
+}
+
 void PeerMesh::tick(bool needsProof)
 {
     const Instant now = steadyNow();
+    int provers = needsProof ? ProvingPeers : 0;
     std::vector<std::pair<std::string, std::string>> ended;
     for (auto &[name, peer] : m_state->peers) {
         if (!peer.link || !peer.link->isOpen()) {
@@ -364,17 +399,17 @@
             ended.emplace_back(name, "not used");
             continue;
         }
-        if (peer.pingedAt > peer.heardAt && now - peer.heardAt > LongestSilence) {
+        if (peer.unansweredSince != Instant{} && now - peer.unansweredSince > LongestSilence) {
             ended.emplace_back(name, "silent");
             continue;
         }
-        if (now - peer.pingedAt >= PingInterval) {
-            peer.pingedAt = now;
-            peer.pingSentAt = bootNow();
-            peer::v1::Frame frame;
-            frame.mutable_ping()->set_number(++peer.pingNumber);
-            frame.mutable_ping()->set_needs_proof(needsProof);
-            peer.link->send(frame);
+        const Duration silence = now - std::max(peer.heardAt, peer.calledAt);
+        const bool isSuspicious = peer.callsOwed > 0 && silence > OwingSilence;
+        const bool isResting = now - peer.heardAt > RestingSilence;
+        const bool isProver = provers > 0 && now - peer.pingedAt >= ProofInterval;
+        provers -= provers > 0 ? 1 : 0;
+        if (isProver || ((isSuspicious || isResting) && now - peer.pingedAt >= PingInterval)) {
+            m_state->ping(peer, now, needsProof);
         }
     }
     for (const auto &[name, reason] : ended) {
--- a/gentianplank/node/peer_messages.cc
+++ b/gentianplank/node/peer_messages.cc
@@ -53,6 +53,9 @@
     wire->set_objective_ms(toMs(statement.objective));
     wire->set_priority(statement.priority);
     wire->set_epoch(statement.epoch);
+    if (statement.freshness) {
+        wire->set_freshness_ms(toMs(*statement.freshness));
+    }
 }
 
 ForwardedStatement fromWire(const peer::v1::Execute &wire)
@@ -79,6 +82,9 @@
     statement.objective = fromMs(wire.objective_ms());
     statement.priority = wire.priority();
     statement.epoch = wire.epoch();
+    if (wire.has_freshness_ms()) {
+        statement.freshness = fromMs(wire.freshness_ms());
+    }
     return statement;
 }
 
--- a/gentianplank/node/rate_exchange.cc
+++ b/gentianplank/node/rate_exchange.cc
@@ -69,7 +69,8 @@
     bool hasView = false;
 };
 
-// Asks owners for what is wanted: near ones first, far ones when the near ones had nothing.
+// Asks owners for what is wanted, one after the other, the near ones first. While operations are
+// refused, all owners are asked, so that each knows the demand and divides its part fairly.
 void RateExchange::State::askOthers(const std::string &name, OrganisationState &organisation,
                                     Instant now)
 {
@@ -77,30 +78,28 @@
     if (wanted <= 0) {
         return;
     }
-    std::vector<std::string> near;
-    std::vector<std::string> far;
+    std::vector<std::string> chosen;
     for (const std::string &vm : organisation.owners) {
         const Ask &ask = organisation.asks[vm];
         const bool isOutstanding = ask.isOutstanding && now - ask.askedAt < AskTimeout;
-        if (vm == ownName || isOutstanding || now < ask.emptyUntil
-            || !environment.isReachable(vm)) {
-            continue;
+        if (vm != ownName && !isOutstanding && now >= ask.emptyUntil
+            && environment.isReachable(vm)) {
+            chosen.push_back(vm);
         }
-        const auto distance = distances.find(vm);
-        const bool isFar =
-            distance == distances.end() || distance->second == Distance::OtherRegion;
-        (isFar ? far : near).push_back(vm);
     }
-    const bool isShort = near.empty() && organisation.rate.tokens < 1;
+    std::stable_sort(chosen.begin(), chosen.end(), [this](const auto &a, const auto &b) {
+        return distances[a] < distances[b];
+    });
     const bool isContested = now - organisation.refusedAt < ContestedFor;
-    std::vector<std::string> chosen = near;
-    if (isShort || isContested) {
-        chosen.insert(chosen.end(), far.begin(), far.end());
+    if (!isContested) {
+        const size_t most = hasOutstanding(organisation, now) ? 0 : 1;
+        chosen.resize(std::min(chosen.size(), most));
     }
     for (const std::string &vm : chosen) {
         peer::v1::Frame frame;
         frame.mutable_rate_ask()->set_organisation(name);
-        frame.mutable_rate_ask()->set_tokens(wanted / static_cast<double>(chosen.size()));
+        frame.mutable_rate_ask()->set_tokens(
+            std::max(1.0, wanted / static_cast<double>(chosen.size())));
         frame.mutable_rate_ask()->set_demand(organisation.rate.demand);
         if (environment.send(vm, frame)) {
             organisation.asks[vm].askedAt = now;
@@ -252,8 +251,8 @@
     if (tokens < 1) {
         ask.emptyUntil = now + EmptyPause;
     }
+    m_state->askOthers(organisation, state, now);
     if (!state.waiting.empty()) {
-        m_state->askOthers(organisation, state, now);
         m_state->serveWaiting(state, now);
     }
 }
--- a/gentianplank/node/statement_router.cc
+++ b/gentianplank/node/statement_router.cc
@@ -45,6 +45,8 @@
     std::string lastReason;
     // It waits for a primary, or for a member that may serve it.
     bool isWaiting = false;
+    // A read that no replica can be asked for.
+    bool needsPrimary = false;
 };
 
 using RunPointer = std::shared_ptr<Run>;
@@ -65,8 +67,7 @@
 {
     void attempt(const RunPointer &run);
     void attemptPrimary(const RunPointer &run);
-    void attemptReader(const RunPointer &run, const LogPosition &need);
-    std::optional<LogPosition> neededPosition(const RoutedStatement &request) const;
+    void attemptReader(const RunPointer &run);
     std::optional<std::string> dispatcherOf(const std::string &member, const FleetView &view) const;
     void sendTo(const RunPointer &run, const std::string &vm, const std::string &member,
                 uint64_t epoch);
@@ -79,7 +80,6 @@
     Place ownPlace;
     RouterEnvironment environment;
     std::map<std::string, MemberKnowledge, std::less<>> members;
-    std::map<std::string, PositionHistory, std::less<>> histories;
     std::map<std::pair<std::string, std::string>, Instant> avoidedDispatchers;
     std::list<RunPointer> waiting;
 };
@@ -95,12 +95,11 @@
         attemptPrimary(run);
         return;
     }
-    const auto need = neededPosition(request);
-    if (!need) {
+    if (run->needsPrimary) {
         attemptPrimary(run);
         return;
     }
-    attemptReader(run, *need);
+    attemptReader(run);
 }
 
 void StatementRouter::State::attemptPrimary(const RunPointer &run)
@@ -117,18 +116,19 @@
         return;
     }
     run->request.statement.after.reset();
+    run->request.statement.freshness.reset();
     sendTo(run, *vm, record->primary, record->epoch);
 }
 
-void StatementRouter::State::attemptReader(const RunPointer &run, const LogPosition &need)
+void StatementRouter::State::attemptReader(const RunPointer &run)
 {
     const auto view = environment.view();
     const std::string &group = run->request.statement.group;
     const auto record = environment.usablePrimary(group);
     const auto known = view->groups.find(group);
     const Instant now = steadyNow();
-    const auto &lastCommit = run->request.lastCommit;
-    const bool isFreshCommit = lastCommit && *lastCommit == need
+    const bool readsOwnWrites = run->request.consistency == Consistency::ReadYourWrites;
+    const bool isFreshCommit = readsOwnWrites && run->request.lastCommit
         && now - run->request.lastCommitAt < ReplicationTime;
     std::vector<ReadCandidate> candidates;
     for (const auto &[id, member] : view->members) {
@@ -161,28 +161,16 @@
     const auto vm = dispatcherOf(best.id, *view);
     if (best.isPrimary) {
         run->request.statement.after.reset();
+        run->request.statement.freshness.reset();
         sendTo(run, *vm, best.id, record->epoch);
         return;
     }
-    run->request.statement.after = need;
+    ForwardedStatement &statement = run->request.statement;
+    statement.after = readsOwnWrites ? run->request.lastCommit : std::nullopt;
+    statement.freshness = run->request.staleness + (bootNow() - run->request.arrivedAt);
     sendTo(run, *vm, best.id, 0);
 }
 
-// What a member's log must hold for the read; nothing when only the primary will do.
-std::optional<LogPosition>
-StatementRouter::State::neededPosition(const RoutedStatement &request) const
-{
-    const auto it = histories.find(request.statement.group);
-    if (it == histories.end()) {
-        return std::nullopt;
-    }
-    auto need = positionCovering(it->second, request.arrivedAt - request.staleness);
-    if (need && request.consistency == Consistency::ReadYourWrites && request.lastCommit) {
-        need = std::max(*need, *request.lastCommit);
-    }
-    return need;
-}
-
 std::optional<std::string> StatementRouter::State::dispatcherOf(const std::string &member,
                                                                 const FleetView &view) const
 {
@@ -245,6 +233,12 @@
     run->lastReason = outcome.reason;
     switch (outcome.fate) {
     case StatementFate::NotRun:
+        if (outcome.code == ErrorCode::Lagging) {
+            // Its dispatcher knows no position that is fresh enough.
+            run->needsPrimary = true;
+            attempt(run);
+            return;
+        }
         if (!outcome.isUnreachable) {
             run->avoided.insert(member);
         }
@@ -344,18 +338,6 @@
     m_state->attempt(run);
 }
 
-void StatementRouter::noteLoad(const std::string &member, Duration expectedWait)
-{
-    m_state->members[member].expectedWait = expectedWait;
-    m_state->members[member].loadAt = steadyNow();
-}
-
-void StatementRouter::notePrimaryPosition(const std::string &group, uint64_t epoch,
-                                          const PositionSample &sample)
-{
-    addSample(m_state->histories[group], epoch, sample);
-}
-
 void StatementRouter::retryWaiting()
 {
     const Instant now = steadyNow();
@@ -383,9 +365,4 @@
     std::erase_if(m_state->avoidedDispatchers, [now](const auto &it) { return it.second < now; });
 }
 
-const std::map<std::string, PositionHistory, std::less<>> &StatementRouter::histories() const
-{
-    return m_state->histories;
-}
-
 } // namespace gentianplank
--- a/gentianplank/node/statement_router.h
+++ b/gentianplank/node/statement_router.h
@@ -6,7 +6,6 @@
 
 #include "gentianplank/node/fleet_view.h"
 #include "gentianplank/node/forwarded_statement.h"
-#include "gentianplank/target/position_history.h"
 
 #include <memory>
 
@@ -56,18 +55,12 @@
     // Calls `done` once, with an outcome that the caller may be told as it is.
     void route(RoutedStatement statement, std::function<void(RoutedOutcome)> done);
 
-    // Takes what others say of members.
-    void noteLoad(const std::string &member, Duration expectedWait);
-    void notePrimaryPosition(const std::string &group, uint64_t epoch, const PositionSample &sample);
-
     // Tries what waits for a primary again: what the VM believes has changed.
     void retryWaiting();
 
     // Refuses what has waited too long. Call it about every 50 ms.
     void tick();
 
-    const std::map<std::string, PositionHistory, std::less<>> &histories() const;
-
 private:
     struct State;
     std::shared_ptr<State> m_state;
--- a/gentianplank/node/traffic.cc
+++ b/gentianplank/node/traffic.cc
@@ -30,6 +30,9 @@
 // A VM whose own proof of the groups' records is older than this asks its peers for theirs. The
 // feed renews it every 1.8 s.
 constexpr Duration ProofWanted = std::chrono::milliseconds(2000);
+// How old the newest position of a primary may be before its dispatcher is asked for another. Reads
+// that accept data of a second and more lose this much of it.
+constexpr Duration SampleInterval = std::chrono::milliseconds(300);
 // How long transactions may go on in an orderly change of their primary.
 constexpr Duration OrderlyPatience = std::chrono::milliseconds(400);
 // The balancer asks for readiness each second and leaves a VM alone after two misses; sessions
@@ -80,6 +83,9 @@
     void takeRequest(const std::shared_ptr<PeerLink> &link, const peer::v1::Frame &frame);
     void takeReply(const std::string &vm, const peer::v1::Frame &frame);
     void takePong(const peer::v1::Pong &pong, BootInstant sentAt);
+    void askSamples(Instant now);
+    void answerSample(const std::shared_ptr<PeerLink> &link, const peer::v1::SampleAsk &ask) const;
+    void takeSample(const peer::v1::SampleAnswer &answer);
     peer::v1::Frame pong(const peer::v1::Ping &ping) const;
     void endTransaction(const std::string &vm, const std::string &member, uint64_t session);
 
@@ -105,6 +111,16 @@
     std::shared_ptr<const FleetView> view = std::make_shared<FleetView>();
     FleetProofs proofs;
     bool wasProven = false;
+    // Positions of the primaries, for the reads that this VM dispatches.
+    std::map<std::string, PositionHistory> histories;
+    struct SampleQuestion
+    {
+        Instant askedAt{};
+        BootInstant askedAtBoot{};
+        uint64_t number = 0;
+    };
+    std::map<std::string, SampleQuestion> sampleQuestions;
+    uint64_t nextSampleQuestion = 1;
     // What peers proved: of a group, the epoch and up to when its record stood.
     std::map<std::string, std::pair<uint64_t, BootInstant>> peerProofs;
     std::map<std::string, uint64_t> releasedEpochs;
@@ -248,6 +264,7 @@
         dispatcher->tick();
     }
     checkReleases(now);
+    askSamples(now);
     const bool isProven = hasProvenConfiguration();
     if (isProven != wasProven) {
         wasProven = isProven;
@@ -331,7 +348,10 @@
     };
     environment.onPrimaryPosition = [this](const std::string &name, uint64_t epoch,
                                            const PositionSample &sample) {
-        router->notePrimaryPosition(name, epoch, sample);
+        addSample(histories[name], epoch, sample);
+    };
+    environment.positionCovering = [this](const std::string &name, BootInstant before) {
+        return gentianplank::positionCovering(histories[name], before);
     };
     environment.onConnection = [this] { metrics.countConnection(); };
     auto dispatcher = std::make_shared<MemberDispatcher>(
@@ -392,17 +412,7 @@
         executeHere(statement, std::move(done));
         return;
     }
-    const BootInstant sentAt = bootNow();
-    mesh->call(vm, statement,
-               [this, sentAt, group = statement.group, epoch = statement.epoch,
-                done = std::move(done)](StatementOutcome outcome) {
-                   const bool isSample = epoch != 0 && outcome.position && !outcome.code
-                       && outcome.fate == StatementFate::Answered && mayUsePrimary(group, epoch);
-                   if (isSample) {
-                       router->notePrimaryPosition(group, epoch, {*outcome.position, sentAt});
-                   }
-                   done(std::move(outcome));
-               });
+    mesh->call(vm, statement, std::move(done));
 }
 
 void Traffic::State::takeRequest(const std::shared_ptr<PeerLink> &link,
@@ -433,6 +443,8 @@
             rates->give(link->peerName(), frame.rate_ask().organisation(),
                         frame.rate_ask().tokens(), frame.rate_ask().demand()));
         link->send(reply);
+    } else if (frame.has_sample_ask()) {
+        answerSample(link, frame.sample_ask());
     } else {
         handler.onControlRequest(frame, [this, link](const peer::v1::Frame &reply) {
             asio::post(ioContext, [link, reply] { link->send(reply); });
@@ -446,6 +458,10 @@
         rates->receive(vm, frame.rate_grant().organisation(), frame.rate_grant().tokens());
         return;
     }
+    if (frame.has_sample_answer()) {
+        takeSample(frame.sample_answer());
+        return;
+    }
     handler.onControlReply(vm, frame);
 }
 
@@ -465,34 +481,11 @@
                 static_cast<uint32_t>(toMilliseconds(now - rightTo(record).provenAt)) + 1);
         }
     }
-    for (const auto &[id, dispatcher] : dispatchers) {
-        if (!dispatcher->isIdle()) {
-            auto *load = pong->add_loads();
-            load->set_member(id);
-            load->mutable_load()->set_expected_wait_ms(
-                static_cast<uint32_t>(toMilliseconds(dispatcher->expectedWait())));
-        }
-    }
-    for (const auto &[group, history] : router->histories()) {
-        const auto sample = newestSample(history);
-        if (sample && mayUsePrimary(group, history.epoch)
-            && now - sample->sentAt < std::chrono::seconds(1)) {
-            auto *it = pong->add_samples();
-            it->set_group(group);
-            it->set_epoch(history.epoch);
-            toWire(sample->position, it->mutable_position());
-            it->set_age_ms(static_cast<uint32_t>(toMilliseconds(now - sample->sentAt)) + 1);
-        }
-    }
     return frame;
 }
 
 void Traffic::State::takePong(const peer::v1::Pong &pong, BootInstant sentAt)
 {
-    for (const auto &it : pong.loads()) {
-        router->noteLoad(it.member(),
-                         std::chrono::milliseconds(it.load().expected_wait_ms()));
-    }
     for (const auto &it : pong.proofs()) {
         auto &known = peerProofs[it.group()];
         const BootInstant provenAt = sentAt - std::chrono::milliseconds(it.age_ms());
@@ -502,13 +495,74 @@
             known.second = std::max(known.second, provenAt);
         }
     }
-    for (const auto &it : pong.samples()) {
-        if (mayUsePrimary(it.group(), it.epoch())) {
-            router->notePrimaryPosition(
-                it.group(), it.epoch(),
-                {fromWire(it.position()), sentAt - std::chrono::milliseconds(it.age_ms())});
+}
+
+// Asks the primaries' dispatchers for positions while reads need them.
+void Traffic::State::askSamples(Instant now)
+{
+    for (const auto &[id, dispatcher] : dispatchers) {
+        const auto member = view->members.find(id);
+        if (member == view->members.end() || !dispatcher->needsPositions()) {
+            continue;
         }
+        const std::string &group = member->second.entry.group;
+        SampleQuestion &question = sampleQuestions[group];
+        const auto newest = newestSample(histories[group]);
+        const bool isFresh = newest && bootNow() - newest->sentAt < SampleInterval;
+        if (isFresh || now - question.askedAt < SampleInterval) {
+            continue;
+        }
+        const auto record = usablePrimary(group);
+        const auto primary = record ? view->members.find(record->primary) : view->members.end();
+        if (primary == view->members.end()) {
+            continue;
+        }
+        const auto ranked = dispatchersFor(record->primary, primary->second.place, view->vms);
+        const auto vm = std::find_if(ranked.begin(), ranked.end(), [&](const VmRecord *it) {
+            return it->name == settings.name || mesh->isReachable(it->name);
+        });
+        if (vm == ranked.end() || (*vm)->name == settings.name) {
+            continue;
+        }
+        question = {now, bootNow(), nextSampleQuestion++};
+        peer::v1::Frame frame;
+        frame.mutable_sample_ask()->set_group(group);
+        frame.mutable_sample_ask()->set_number(question.number);
+        mesh->send((*vm)->name, frame);
+    }
+}
+
+void Traffic::State::answerSample(const std::shared_ptr<PeerLink> &link,
+                                  const peer::v1::SampleAsk &ask) const
+{
+    const auto history = histories.find(ask.group());
+    const auto sample =
+        history == histories.end() ? std::nullopt : newestSample(history->second);
+    if (!sample || !mayUsePrimary(ask.group(), history->second.epoch)) {
+        return;
+    }
+    peer::v1::Frame frame;
+    frame.mutable_sample_answer()->set_number(ask.number());
+    auto *it = frame.mutable_sample_answer()->mutable_sample();
+    it->set_group(ask.group());
+    it->set_epoch(history->second.epoch);
+    toWire(sample->position, it->mutable_position());
+    it->set_age_ms(static_cast<uint32_t>(toMilliseconds(bootNow() - sample->sentAt)) + 1);
+    link->send(frame);
+}
+
+void Traffic::State::takeSample(const peer::v1::SampleAnswer &answer)
+{
+    const auto &sample = answer.sample();
+    const auto question = sampleQuestions.find(sample.group());
+    if (question == sampleQuestions.end() || question->second.number != answer.number()
+        || !mayUsePrimary(sample.group(), sample.epoch())) {
+        return;
     }
+    // The answer was made after the question was asked.
+    addSample(histories[sample.group()], sample.epoch(),
+              {fromWire(sample.position()),
+               question->second.askedAtBoot - std::chrono::milliseconds(sample.age_ms())});
 }
 
 void Traffic::State::endTransaction(const std::string &vm, const std::string &member,
--- a/gentianplank/store/table_follower.cc
+++ b/gentianplank/store/table_follower.cc
@@ -1,10 +1,18 @@
 #include "gentianplank/store/table_follower.h"
 
 #include <algorithm>
+#include <deque>
 #include <set>
 
 namespace gentianplank {
 
+namespace {
+
+// Answers with changes in a second that are followed up at once.
+constexpr size_t CalmChanges = 4;
+
+} // namespace
+
 struct TableFollower::State : std::enable_shared_from_this<TableFollower::State>
 {
     State(RowStore &rowStore, StoreClock &storeClock, Scheduler runLater, std::string name, FollowSettings figures,
@@ -101,11 +109,32 @@
         }
         version = std::max(version, result->version);
         const BootInstant at = answeredNotBefore(clock, sentAt, result->storeTime, bootNow());
+        const bool hasChanges = !result->rows.empty();
         apply(std::move(result->rows));
         prove(at);
+        if (hasChanges && isStorm()) {
+            auto weak = weak_from_this();
+            scheduler(settings.pace, [weak] {
+                if (auto self = weak.lock()) {
+                    self->follow();
+                }
+            });
+            return;
+        }
         follow();
     }
 
+    // Whether more than a few answers with changes came within the last second.
+    bool isStorm()
+    {
+        const BootInstant now = bootNow();
+        changedAt.push_back(now);
+        while (now - changedAt.front() > std::chrono::seconds(1)) {
+            changedAt.pop_front();
+        }
+        return changedAt.size() > CalmChanges;
+    }
+
     void apply(std::vector<StoredRow> changes)
     {
         std::erase_if(changes, [this](const StoredRow &it) {
@@ -172,6 +201,7 @@
     uint64_t version = 0;
     BootInstant provenAt{};
     bool isReachable = false;
+    std::deque<BootInstant> changedAt;
 };
 
 TableFollower::TableFollower(RowStore &store, StoreClock &clock, Scheduler scheduler,
--- a/gentianplank/store/table_follower.h
+++ b/gentianplank/store/table_follower.h
@@ -22,6 +22,8 @@
     Duration wait = std::chrono::seconds(1);
     // How much longer than `wait` an answer may take.
     Duration patience = std::chrono::milliseconds(700);
+    // Changes that follow each other more closely than this, after the first few, are read together.
+    Duration pace = std::chrono::milliseconds(250);
     Duration shortestPause = std::chrono::milliseconds(50);
     Duration longestPause = std::chrono::milliseconds(400);
 };
