--- a/gentianplank/node/rate_exchange.cc
+++ b/gentianplank/node/rate_exchange.cc
@@ -14,6 +14,9 @@
 // Owners of one organisation's rate. Their number is bounded, so that asking does not grow with
 // the fleet, and large enough that the loss of a few leaves most of the rate.
 constexpr size_t MostOwners = 8;
+// A small rate has fewer, so that each part's burst is some tokens and not a piece of one.
+constexpr double LeastBurstOfPart = 5;
+constexpr size_t LeastOwners = 2;
 // A VM that lost its part, or its right to serve, has stopped using it after this long: longer than
 // a proof of the configuration lasts.
 constexpr Duration PartDelay = std::chrono::milliseconds(5200);
@@ -74,7 +77,7 @@
 void RateExchange::State::askOthers(const std::string &name, OrganisationState &organisation,
                                     Instant now)
 {
-    const double wanted = tokensWanted(organisation.rate, now);
+    const double wanted = tokensWanted(organisation.rate, organisation.waiting.size(), now);
     if (wanted <= 0) {
         return;
     }
@@ -99,7 +102,7 @@
         peer::v1::Frame frame;
         frame.mutable_rate_ask()->set_organisation(name);
         frame.mutable_rate_ask()->set_tokens(
-            std::max(1.0, wanted / static_cast<double>(chosen.size())));
+            isContested ? wanted / static_cast<double>(chosen.size()) : wanted);
         frame.mutable_rate_ask()->set_demand(organisation.rate.demand);
         if (environment.send(vm, frame)) {
             organisation.asks[vm].askedAt = now;
@@ -174,9 +177,9 @@
             || organisation.limits.burst != limits.burst;
         organisation.limits = limits;
         organisation.owners = rankByRendezvous("rate/" + name, names);
-        if (organisation.owners.size() > MostOwners) {
-            organisation.owners.resize(MostOwners);
-        }
+        const auto wanted = static_cast<size_t>(limits.burst / LeastBurstOfPart);
+        const size_t owners = std::clamp(wanted, LeastOwners, MostOwners);
+        organisation.owners.resize(std::min(organisation.owners.size(), owners));
         const bool isOwner = std::find(organisation.owners.begin(), organisation.owners.end(),
                                        m_state->ownName)
             != organisation.owners.end();
@@ -205,18 +208,19 @@
         return;
     }
     OrganisationState &state = it->second;
-    const bool hasToken = state.waiting.empty() && takeToken(state.rate, now);
-    m_state->askOthers(organisation, state, now);
-    if (hasToken) {
+    if (state.waiting.empty() && takeToken(state.rate, now)) {
+        m_state->askOthers(organisation, state, now);
         done(true, Duration::zero());
         return;
     }
-    if (!State::hasOutstanding(state, now) || state.waiting.size() >= MostWaiting) {
+    if (state.waiting.size() >= MostWaiting) {
         state.refusedAt = now;
         done(false, State::hint(state));
         return;
     }
     state.waiting.push_back({now, std::move(done)});
+    m_state->askOthers(organisation, state, now);
+    m_state->serveWaiting(state, now);
 }
 
 void RateExchange::refund(const std::string &organisation)
--- a/gentianplank/organisation/shared_rate.cc
+++ b/gentianplank/organisation/shared_rate.cc
@@ -15,8 +15,10 @@
 constexpr double EnoughSeconds = 0.4;
 // A claim that was not made again for this long is dropped.
 constexpr Duration ClaimMemory = std::chrono::seconds(1);
-// One token over, so that the first statement after a pause need not wait.
-constexpr double Spare = 1.0;
+// For a VM that asks for less nothing is set aside: it gets what there is, like this VM itself.
+constexpr double LeastReserving = 3.0;
+// Fewer tokens than this are not asked for in advance.
+constexpr double LeastInAdvance = 1.0;
 
 double secondsBetween(Instant from, Instant to)
 {
@@ -42,6 +44,9 @@
     }
     double rest = filled;
     for (auto &[vm, claim] : rate.claims) {
+        if (claim.demand < LeastReserving) {
+            continue;
+        }
         const double most = std::max(1.0, claim.demand * EnoughSeconds) - claim.reserved;
         const double share = std::clamp(filled * claim.demand / demand, 0.0, std::max(0.0, most));
         claim.reserved += share;
@@ -128,14 +133,18 @@
     return true;
 }
 
-double tokensWanted(SharedRate &rate, Instant now)
+double tokensWanted(SharedRate &rate, size_t waiting, Instant now)
 {
     advance(rate, now);
     fadeDemand(rate, now);
-    if (rate.tokens >= rate.demand * LowSeconds + Spare) {
+    const auto needed = static_cast<double>(waiting);
+    const double inAdvance = rate.demand * EnoughSeconds;
+    const bool asksInAdvance = inAdvance >= LeastInAdvance;
+    const double low = needed + (asksInAdvance ? rate.demand * LowSeconds + 1 : 0);
+    if (rate.tokens >= low) {
         return 0;
     }
-    return rate.demand * EnoughSeconds + Spare - rate.tokens;
+    return needed + (asksInAdvance ? inAdvance + 1 : 0) - rate.tokens;
 }
 
 double giveTokens(SharedRate &rate, const std::string &vm, double asked, double demand, Instant now)
--- a/gentianplank/organisation/shared_rate.h
+++ b/gentianplank/organisation/shared_rate.h
@@ -5,11 +5,12 @@
 // VMs, rate and burst are exceeded by no more than what is on its way or was just received.
 //
 //     setPart(rate, {limit.perSecond / owners, limit.burst / owners}, now, delay);
-//     if (!takeToken(rate, now)) { ask other owners for tokensWanted(rate, now); }
+//     if (!takeToken(rate, now)) { ask other owners for tokensWanted(rate, 1, now); }
 #pragma once
 
 #include "gentianplank/base/time.h"
 
+#include <cstddef>
 #include <map>
 #include <string>
 
@@ -64,8 +65,10 @@
 // Takes one token if there is one. Counts as demand either way.
 bool takeToken(SharedRate &rate, Instant now);
 
-// How many tokens the VM should ask others for; 0 when it has enough for a while.
-double tokensWanted(SharedRate &rate, Instant now);
+// How many tokens the VM should ask others for, with `waiting` operations that have none; 0 when it
+// has enough for a while. A VM that is rarely asked wants none in advance: a small rate would be
+// spread over many VMs that hold a token each.
+double tokensWanted(SharedRate &rate, size_t waiting, Instant now);
 
 // Gives up at most `asked` tokens to `vm`, which has that demand, and returns how many: what was set
 // aside for it, and what this VM does not need itself.
--- a/gentianplank/organisation/shared_rate_test.cc
+++ b/gentianplank/organisation/shared_rate_test.cc
@@ -98,6 +98,17 @@
     BOOST_TEST(takeAll(rate, Start + 500ms) == 5);
 }
 
+// Small rates on many VMs: none may hold a token that it does not need.
+BOOST_AUTO_TEST_CASE(aVmThatIsRarelyAskedHoldsNothingInAdvance)
+{
+    SharedRate rate = rateOf(0, 0);
+    BOOST_TEST(!takeToken(rate, Start));
+    BOOST_TEST(tokensWanted(rate, 1, Start) == 1);
+    receiveTokens(rate, 1, Start);
+    BOOST_TEST(takeToken(rate, Start));
+    BOOST_TEST(tokensWanted(rate, 0, Start) == 0);
+}
+
 // Seven VMs that hand tokens to each other over links that delay and lose messages stay within the
 // users' bound together.
 BOOST_AUTO_TEST_CASE(theSumOverAllVmsStaysWithinRateAndBurst)
@@ -122,7 +133,7 @@
                         admitted.push_back(now);
                     }
                 }
-                const double wanted = tokensWanted(rates[vm], now);
+                const double wanted = tokensWanted(rates[vm], 1, now);
                 const int giver = static_cast<int>(random() % Vms);
                 if (wanted > 0 && giver != vm && random() % 8 == 0) {
                     const double given = giveTokens(rates[giver], std::to_string(vm), wanted,
