Follow the store at second hand in large zones

In a zone of more than three VMs, two ask the store and tell the others as soon as they know more; proofs keep their age, by the relay's boot clock related to the VM's own.

--- a/gentianplank/node/control.cc
+++ b/gentianplank/node/control.cc
@@ -2,6 +2,7 @@
 
 #include "gentianplank/base/event_log.h"
 #include "gentianplank/base/rendezvous.h"
+#include "gentianplank/node/feed_relay.h"
 #include "gentianplank/node/member_probe.h"
 #include "gentianplank/node/primary_change.h"
 #include "gentianplank/platform/documents.h"
@@ -28,6 +29,9 @@
 constexpr Duration ConfigurationWait = std::chrono::milliseconds(2900);
 constexpr Duration FleetWait = std::chrono::milliseconds(1800);
 constexpr Duration MemberWait = std::chrono::milliseconds(4000);
+// In a larger zone, only the relays ask the store; the others are told by them.
+constexpr size_t LargestZoneWithoutRelays = 3;
+constexpr size_t RelaysOfZone = 2;
 constexpr Duration StoreTimeout = std::chrono::milliseconds(1500);
 constexpr Duration StoreRetryPause = std::chrono::milliseconds(200);
 // Entries that lapsed with the store are back within two seconds of its return.
@@ -83,7 +87,7 @@
         : settings(std::move(vmSettings)), incarnation(number),
           work(asio::make_work_guard(ioContext)), storeCaller(ioContext, settings.storeAddress),
           promotionCaller(ioContext, settings.promotionAddress), store(storeCaller),
-          tickTimer(ioContext)
+          followed(store, secondHandEnvironment()), tickTimer(ioContext)
     {
     }
 
@@ -99,6 +103,10 @@
     void publishSoon();
     void publish();
 
+    SecondHandEnvironment secondHandEnvironment();
+    std::optional<std::string> relayToFollow() const;
+    const TableFollower *followerOf(const std::string &table) const;
+
     // This VM's own row.
     void registerVm();
     void storeVmRow(bool isLeaving, std::function<void(bool)> done);
@@ -137,7 +145,8 @@
     HttpCaller storeCaller;
     HttpCaller promotionCaller;
     platform::HttpRowStore store;
-    StoreClock storeClock;
+    SecondHandRowStore followed;
+    FeedRelay relay;
     asio::steady_timer tickTimer;
     Traffic *traffic = nullptr;
     std::thread thread;
@@ -191,8 +200,12 @@
     FollowListener listener;
     listener.onChanges = std::move(onChanges);
     listener.onProof = std::move(onProof);
-    listener.onReachable = [table](bool isReachable, const std::string &what) {
+    listener.onReachable = [this, table](bool isReachable, const std::string &what) {
         logEvent(isReachable ? "store.reached" : "store.lost", {{"table", table}, {"what", what}});
+        const TableFollower *follower = followerOf(table);
+        if (!isReachable && follower != nullptr) {
+            relay.advanced(table, *follower);
+        }
     };
     return listener;
 }
@@ -205,26 +218,31 @@
     FollowSettings figures;
     figures.wait = ConfigurationWait;
     configurationFollower = std::make_unique<TableFollower>(
-        store, storeClock, scheduler, platform::OperatorTable, figures,
+        followed, scheduler, platform::OperatorTable, figures,
         listenerOf(platform::OperatorTable,
                    [this](const std::vector<StoredRow> &rows) { takeConfiguration(rows); },
                    [this](BootInstant at) {
                        proofs.configuration = at;
                        traffic->prove(proofs);
+                       relay.advanced(platform::OperatorTable, *configurationFollower);
                    }));
     figures.wait = MemberWait;
     memberFollower = std::make_unique<TableFollower>(
-        store, storeClock, scheduler, platform::MemberTable, figures,
+        followed, scheduler, platform::MemberTable, figures,
         listenerOf(platform::MemberTable,
                    [this](const std::vector<StoredRow> &rows) { takeMembers(rows); },
-                   [this](BootInstant at) { memberProof = at; }));
+                   [this](BootInstant at) {
+                       memberProof = at;
+                       relay.advanced(platform::MemberTable, *memberFollower);
+                   }));
     figures.wait = FleetWait;
     fleetFollower = std::make_unique<TableFollower>(
-        store, storeClock, scheduler, FleetTable, figures,
+        followed, scheduler, FleetTable, figures,
         listenerOf(FleetTable, [this](const std::vector<StoredRow> &rows) { takeFleet(rows); },
                    [this](BootInstant at) {
                        proofs.fleet = at;
                        traffic->prove(proofs);
+                       relay.advanced(FleetTable, *fleetFollower);
                        if (!isRegistered) {
                            registerVm();
                        }
@@ -234,6 +252,51 @@
     fleetFollower->start();
 }
 
+SecondHandEnvironment Control::State::secondHandEnvironment()
+{
+    SecondHandEnvironment environment;
+    environment.relay = [this] { return relayToFollow(); };
+    environment.send = [this](const std::string &vm, const peer::v1::Frame &frame) {
+        traffic->sendToPeer(vm, frame);
+    };
+    environment.schedule = [this](Duration delay, std::function<void()> task) {
+        schedule(delay, std::move(task));
+    };
+    return environment;
+}
+
+// The VM of the zone that tells this one what the store says; nothing for those who ask it.
+std::optional<std::string> Control::State::relayToFollow() const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, record] : vms) {
+        if (record.place.zone == settings.place.zone && !record.isLeaving) {
+            names.push_back(name);
+        }
+    }
+    if (names.size() <= LargestZoneWithoutRelays || !isRegistered || isLeaving) {
+        return std::nullopt;
+    }
+    const auto ranked = rankByRendezvous("relay/" + settings.place.zone, names);
+    const auto first = ranked.begin();
+    const auto last = first + RelaysOfZone;
+    if (std::find(first, last, settings.name) != last) {
+        return std::nullopt;
+    }
+    return ranked[incarnation % RelaysOfZone];
+}
+
+const TableFollower *Control::State::followerOf(const std::string &table) const
+{
+    if (table == FleetTable) {
+        return fleetFollower.get();
+    }
+    if (table == platform::MemberTable) {
+        return memberFollower.get();
+    }
+    return table == platform::OperatorTable ? configurationFollower.get() : nullptr;
+}
+
 void Control::State::takeConfiguration(const std::vector<StoredRow> &rows)
 {
     for (const StoredRow &row : rows) {
@@ -786,7 +849,12 @@
 void Control::State::takeRequest(const peer::v1::Frame &frame,
                                  const std::function<void(const peer::v1::Frame &)> &reply)
 {
-    if (frame.has_suspicion()) {
+    if (frame.has_feed_ask()) {
+        // Only who asks the store itself tells others, so that proofs make one way.
+        const bool isRelay = !relayToFollow();
+        relay.ask(frame.feed_ask(), isRelay ? followerOf(frame.feed_ask().table()) : nullptr,
+                  reply);
+    } else if (frame.has_suspicion()) {
         suspect(frame.suspicion().group(), frame.suspicion().member());
     } else if (frame.has_probe()) {
         peer::v1::Frame answer;
@@ -818,7 +886,9 @@
 
 void Control::State::takeReply(const std::string &vm, const peer::v1::Frame &frame)
 {
-    if (frame.has_probe_answer()) {
+    if (frame.has_feed_answer()) {
+        followed.takeAnswer(vm, frame.feed_answer());
+    } else if (frame.has_probe_answer()) {
         if (vm == duty.holder) {
             holderHeardAt = bootNow();
         }
@@ -865,6 +935,11 @@
     asio::post(m_state->ioContext, [state = m_state, vm, frame] { state->takeReply(vm, frame); });
 }
 
+void Control::takePeerLost(const std::string &vm)
+{
+    asio::post(m_state->ioContext, [state = m_state, vm] { state->followed.peerLost(vm); });
+}
+
 void Control::start(Traffic &traffic)
 {
     m_state->traffic = &traffic;
--- a/gentianplank/node/control.h
+++ b/gentianplank/node/control.h
@@ -25,6 +25,7 @@
     void takeRequest(const peer::v1::Frame &frame,
                      std::function<void(const peer::v1::Frame &)> reply);
     void takeReply(const std::string &vm, const peer::v1::Frame &frame);
+    void takePeerLost(const std::string &vm);
 
     // Starts the thread. `traffic` must outlive this object and be started.
     void start(Traffic &traffic);
--- a/gentianplank/node/entry_test.cc
+++ b/gentianplank/node/entry_test.cc
@@ -57,6 +57,7 @@
         handler.onControlReply = [this](const std::string &vm, const peer::v1::Frame &frame) {
             m_control->takeReply(vm, frame);
         };
+        handler.onPeerLost = [this](const std::string &vm) { m_control->takePeerLost(vm); };
         handler.onHandOver = [this] { m_control->handOver(); };
         handler.onStopped = [this] { m_hasStopped = true; };
         m_traffic = std::make_unique<Traffic>(m_settings, incarnation, std::move(handler));
--- /dev/null
+++ b/gentianplank/node/feed_relay.h
@@ -0,0 +1,77 @@
+// Lets most VMs follow the store at second hand: a few VMs of a zone read its feeds, and tell the
+// others as soon as they know more themselves.
+//
+// A fleet's calls to the store then grow with its zones and not with its VMs. What a VM is told
+// carries the age of its proof, so that it may rely on it exactly as long as on its own.
+#pragma once
+
+#include "gentianplank/peer/peer.pb.h"
+#include "gentianplank/store/store_clock.h"
+#include "gentianplank/store/table_follower.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace gentianplank {
+
+// Answers those who follow at second hand. Not thread-safe.
+class FeedRelay
+{
+public:
+    using Reply = std::function<void(const peer::v1::Frame &)>;
+
+    // Answers when there is something new or a younger proof.
+    void ask(const peer::v1::FeedAsk &ask, const TableFollower *follower, Reply reply);
+
+    // The follower of a table knows more, or has a younger proof.
+    void advanced(const std::string &table, const TableFollower &follower);
+
+private:
+    struct Waiting
+    {
+        peer::v1::FeedAsk ask;
+        Reply reply;
+    };
+
+    static peer::v1::Frame answerTo(const peer::v1::FeedAsk &ask, const TableFollower &follower);
+
+    std::map<std::string, std::vector<Waiting>> m_waiting;
+};
+
+// What following at second hand needs.
+struct SecondHandEnvironment
+{
+    // The VM to follow; nothing when this VM should ask the store itself.
+    std::function<std::optional<std::string>()> relay;
+    std::function<void(const std::string &vm, const peer::v1::Frame &)> send;
+    Scheduler schedule;
+};
+
+// A store whose feeds come from another VM while there is one that answers. Reads and changes go to
+// the store itself. Not thread-safe.
+class SecondHandRowStore : public RowStore
+{
+public:
+    // `direct` outlives this object.
+    SecondHandRowStore(RowStore &direct, SecondHandEnvironment environment);
+    ~SecondHandRowStore() override;
+
+    void read(RowRange range, Duration timeout,
+              std::function<void(RowResult<RowSet>)> done) override;
+    void change(RowTransaction transaction, Duration timeout,
+                std::function<void(RowResult<uint64_t>)> done) override;
+    void changesAfter(std::string table, uint64_t after, Duration wait, Duration timeout,
+                      std::function<void(RowResult<RowSet>)> done) override;
+
+    void takeAnswer(const std::string &vm, const peer::v1::FeedAnswer &answer);
+    void peerLost(const std::string &vm);
+
+private:
+    struct State;
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace gentianplank
--- a/gentianplank/node/main.cc
+++ b/gentianplank/node/main.cc
@@ -120,6 +120,7 @@
     handler.onControlReply = [&](const std::string &vm, const peer::v1::Frame &frame) {
         control.takeReply(vm, frame);
     };
+    handler.onPeerLost = [&](const std::string &vm) { control.takePeerLost(vm); };
     handler.onHandOver = [&] { control.handOver(); };
     handler.onStopped = [mainThread] { pthread_kill(mainThread, SIGUSR1); };
     Traffic traffic(settings, incarnation, std::move(handler));
--- a/gentianplank/node/member_dispatcher_test.cc
+++ b/gentianplank/node/member_dispatcher_test.cc
@@ -18,6 +18,9 @@
             ++unreachableReports;
         };
         environment.onPrimaryPosition = [](const std::string &, uint64_t, const PositionSample &) {};
+        environment.positionCovering = [this](const std::string &, BootInstant) {
+            return position;
+        };
         environment.onConnection = [this] { ++opened; };
         DispatcherLimits limits;
         limits.connections = connectionLimit;
@@ -82,6 +85,7 @@
     TextGroup group;
     boost::asio::io_context ioContext;
     bool mayUse = true;
+    std::optional<LogPosition> position;
     int unreachableReports = 0;
     int opened = 0;
     std::shared_ptr<MemberDispatcher> dispatcher;
@@ -192,6 +196,24 @@
     BOOST_TEST((outcomes.back()->fate != StatementFate::Answered));
 }
 
+// Stale reads: a replica is asked for a position that is fresh enough, or not at all.
+BOOST_FIXTURE_TEST_CASE(aReadAsksForAFreshPositionOrIsNotSent, Fixture)
+{
+    ForwardedStatement read = statement(1, "READ a", ForwardKind::Read);
+    read.epoch = 0;
+    read.freshness = 1s;
+    BOOST_TEST((run(read).code == ErrorCode::Lagging));
+    BOOST_TEST(group.runs().empty());
+    BOOST_TEST(dispatcher->needsPositions());
+    position = LogPosition{1, 1};
+    BOOST_TEST((run(read).code == ErrorCode::Lagging));
+    run(statement(2, "WRITE a 1", ForwardKind::Write));
+    BOOST_TEST(!run(read).code);
+    // The session's own commit counts where it is later.
+    read.after = LogPosition{1, 2};
+    BOOST_TEST((run(read).code == ErrorCode::Lagging));
+}
+
 BOOST_FIXTURE_TEST_CASE(aMemberThatRefusesConnectionsRanNothing, Fixture)
 {
     group.crash(0);
@@ -227,6 +249,9 @@
     environment.mayUsePrimary = [](const std::string &, uint64_t) { return true; };
     environment.onUnreachable = [](const MemberEntry &, const std::string &) {};
     environment.onPrimaryPosition = [](const std::string &, uint64_t, const PositionSample &) {};
+    environment.positionCovering = [](const std::string &, BootInstant) {
+        return std::optional<LogPosition>();
+    };
     environment.onConnection = [] {};
     // Another VM holds what connections there are.
     auto other = std::make_shared<MemberDispatcher>(ioContext, environment, group.entryOf(0),
--- a/gentianplank/node/peer_mesh.cc
+++ b/gentianplank/node/peer_mesh.cc
@@ -155,6 +155,7 @@
         it->second.wasLost = true;
         logEvent("peer.lost", {{"vm", vm}, {"why", what}});
     }
+    handler.onLost(vm);
     std::vector<OutcomeHandler> lost;
     for (auto call = calls.begin(); call != calls.end();) {
         if (call->second.vm == vm) {
--- a/gentianplank/node/peer_mesh.h
+++ b/gentianplank/node/peer_mesh.h
@@ -25,6 +25,8 @@
     std::function<void(uint64_t origin)> onOriginGone;
     // A peer answered something other than a statement.
     std::function<void(const std::string &vm, const peer::v1::Frame &)> onReply;
+    // The link to a peer broke, or never came about.
+    std::function<void(const std::string &vm)> onLost;
     // A peer's answer to a ping; `sentAt` is when the ping was sent.
     std::function<void(const std::string &vm, const peer::v1::Pong &, BootInstant sentAt)> onPong;
 };
--- a/gentianplank/node/statement_router_test.cc
+++ b/gentianplank/node/statement_router_test.cc
@@ -52,11 +52,6 @@
         view->vms.push_back({name, "10.0.0.1:2", {zone, region}, 1, false});
     }
 
-    void sample(uint64_t position, Duration age = 10ms)
-    {
-        router->notePrimaryPosition("g", 5, {{1, position}, bootNow() - age});
-    }
-
     static RoutedStatement request(ForwardKind kind, Consistency consistency)
     {
         RoutedStatement result;
@@ -111,26 +106,38 @@
 
 BOOST_FIXTURE_TEST_CASE(aBoundedReadGoesToTheNearReplicaAfterAYoungPosition, Fixture)
 {
-    sample(40);
     route(request(ForwardKind::Read, Consistency::BoundedStaleness));
     BOOST_REQUIRE(sent.size() == 1U);
     BOOST_TEST(sent[0].statement.member == "q");
-    BOOST_TEST((sent[0].statement.after == LogPosition{1, 40}));
+    BOOST_REQUIRE(sent[0].statement.freshness);
+    BOOST_TEST((*sent[0].statement.freshness >= 1s));
     BOOST_TEST(sent[0].statement.epoch == 0U);
 }
 
-// Stale reads: without a sample that is young enough only the primary will do.
-BOOST_FIXTURE_TEST_CASE(aReadWithoutAYoungPositionGoesToThePrimary, Fixture)
+// Stale reads: what a read waited before it was sent counts against its staleness no less than the
+// staleness itself.
+BOOST_FIXTURE_TEST_CASE(aReadThatWaitedMaySeeDataAsOldAsWhenItCame, Fixture)
+{
+    RoutedStatement read = request(ForwardKind::Read, Consistency::BoundedStaleness);
+    read.arrivedAt = bootNow() - 300ms;
+    route(read);
+    BOOST_TEST((*sent.at(0).statement.freshness >= 1300ms));
+    BOOST_TEST((*sent[0].statement.freshness < 1400ms));
+}
+
+// Stale reads: where no position is fresh enough only the primary will do.
+BOOST_FIXTURE_TEST_CASE(aReadWithoutAFreshPositionGoesToThePrimary, Fixture)
 {
-    sample(40, 1100ms);
     route(request(ForwardKind::Read, Consistency::BoundedStaleness));
-    BOOST_TEST(sent.at(0).statement.member == "p");
-    BOOST_TEST(!sent[0].statement.after);
+    sent.at(0).done(notRun(ErrorCode::Lagging, "no position is fresh enough"));
+    BOOST_REQUIRE(sent.size() == 2U);
+    BOOST_TEST(sent[1].statement.member == "p");
+    BOOST_TEST(sent[1].statement.epoch == 5U);
+    BOOST_TEST(!sent[1].statement.freshness);
 }
 
 BOOST_FIXTURE_TEST_CASE(aSessionsOwnCommitIsAskedFor, Fixture)
 {
-    sample(40);
     RoutedStatement read = request(ForwardKind::Read, Consistency::ReadYourWrites);
     read.lastCommit = LogPosition{1, 44};
     read.lastCommitAt = steadyNow() - 5s;
@@ -140,7 +147,6 @@
 
 BOOST_FIXTURE_TEST_CASE(aReplicaThatLagsSendsTheReadOn, Fixture)
 {
-    sample(40);
     route(request(ForwardKind::Read, Consistency::BoundedStaleness));
     sent[0].done(memberError(ErrorCode::Lagging));
     BOOST_REQUIRE(sent.size() == 2U);
@@ -197,7 +203,6 @@
 
 BOOST_FIXTURE_TEST_CASE(aReadWhoseAnswerWasLostIsTriedElsewhere, Fixture)
 {
-    sample(40);
     route(request(ForwardKind::Read, Consistency::BoundedStaleness));
     sent[0].done(unknownOutcome(ErrorCode::Unknown, "lost"));
     BOOST_REQUIRE(sent.size() == 2U);
@@ -225,7 +230,6 @@
 
 BOOST_FIXTURE_TEST_CASE(aLeavingMemberGetsNoReads, Fixture)
 {
-    sample(40);
     view->members["q"].leavingSince = bootNow();
     route(request(ForwardKind::Read, Consistency::BoundedStaleness));
     BOOST_TEST(sent.at(0).statement.member != "q");
--- a/gentianplank/node/traffic.cc
+++ b/gentianplank/node/traffic.cc
@@ -178,6 +178,7 @@
     meshHandler.onReply = [this](const std::string &vm, const peer::v1::Frame &frame) {
         takeReply(vm, frame);
     };
+    meshHandler.onLost = [this](const std::string &vm) { handler.onPeerLost(vm); };
     meshHandler.onPong = [this](const std::string &, const peer::v1::Pong &pong,
                                 BootInstant sentAt) { takePong(pong, sentAt); };
     mesh = std::make_unique<PeerMesh>(ioContext, settings.name, incarnation,
--- a/gentianplank/node/traffic.h
+++ b/gentianplank/node/traffic.h
@@ -27,6 +27,8 @@
                        std::function<void(const peer::v1::Frame &)> reply)>
         onControlRequest;
     std::function<void(const std::string &vm, const peer::v1::Frame &frame)> onControlReply;
+    // The link to a peer broke.
+    std::function<void(const std::string &vm)> onPeerLost;
     // This VM stops, and dispatches for its members no longer.
     std::function<void()> onHandOver;
     // Every session has ended, or the time to stop is over.
--- a/gentianplank/platform/http_row_store.cc
+++ b/gentianplank/platform/http_row_store.cc
@@ -72,7 +72,7 @@
     return {RowFault::NotDone, what, {}};
 }
 
-RowResult<RowSet> decodeRowSet(const HttpResult &result)
+RowResult<RowSet> decodeRowSet(const HttpResult &result, StoreClock &clock, BootInstant sentAt)
 {
     if (!result) {
         return tl::make_unexpected(errorOf(result.error()));
@@ -86,7 +86,8 @@
         set.rows = decodeRows(json);
         set.version = json.at("row-version").get<uint64_t>();
         set.hasMore = json.value("has-more", false);
-        set.storeTime = std::chrono::milliseconds(json.at("now-ms").get<int64_t>());
+        set.provenAt = answeredNotBefore(
+            clock, sentAt, std::chrono::milliseconds(json.at("now-ms").get<int64_t>()), bootNow());
         return set;
     } catch (const Json::exception &error) {
         return tl::make_unexpected(RowError{RowFault::BadAnswer, error.what(), {}});
@@ -129,7 +130,9 @@
     }
     m_caller.call(
         {.method = "GET", .target = std::move(target), .body = {}, .headers = {}}, timeout,
-        [done = std::move(done)](HttpResult result) { done(decodeRowSet(result)); });
+        [this, sentAt = bootNow(), done = std::move(done)](const HttpResult &result) {
+            done(decodeRowSet(result, m_clock, sentAt));
+        });
 }
 
 void HttpRowStore::change(RowTransaction transaction, Duration timeout,
@@ -163,7 +166,9 @@
              + "&wait-ms=" + std::to_string(toMilliseconds(wait)),
          .body = {},
          .headers = {}},
-        timeout, [done = std::move(done)](HttpResult result) { done(decodeRowSet(result)); });
+        timeout, [this, sentAt = bootNow(), done = std::move(done)](const HttpResult &result) {
+            done(decodeRowSet(result, m_clock, sentAt));
+        });
 }
 
 } // namespace gentianplank::platform
--- a/gentianplank/platform/http_row_store.h
+++ b/gentianplank/platform/http_row_store.h
@@ -3,10 +3,11 @@
 
 #include "gentianplank/http/http_caller.h"
 #include "gentianplank/store/row_store.h"
+#include "gentianplank/store/store_clock.h"
 
 namespace gentianplank::platform {
 
-// Runs on the thread of the caller's I/O context.
+// Runs on the thread of the caller's I/O context; the caller's calls must end before it does.
 class HttpRowStore : public RowStore
 {
 public:
@@ -21,6 +22,7 @@
 
 private:
     HttpCaller &m_caller;
+    StoreClock m_clock;
 };
 
 } // namespace gentianplank::platform
--- a/gentianplank/platform/http_row_store_test.cc
+++ b/gentianplank/platform/http_row_store_test.cc
@@ -61,7 +61,8 @@
     BOOST_REQUIRE(rows->rows.size() == 1U);
     BOOST_TEST(rows->rows[0].key == "a/b c");
     BOOST_TEST(rows->rows[0].version == *first);
-    BOOST_TEST((rows->storeTime > Duration::zero()));
+    BOOST_TEST((rows->provenAt > BootInstant{}));
+    BOOST_TEST((rows->provenAt <= bootNow()));
     const auto again = write("a/b c", "other", 0);
     BOOST_REQUIRE(!again);
     BOOST_TEST((again.error().fault == RowFault::ConditionFailed));
--- a/gentianplank/store/row_store.h
+++ b/gentianplank/store/row_store.h
@@ -41,15 +41,15 @@
     std::vector<RowCondition> erasures;
 };
 
-// Rows as of the moment of the answer, which is not before the call was sent.
+// Rows as of one moment.
 struct RowSet
 {
     std::vector<StoredRow> rows;
     // The store's newest version at that moment.
     uint64_t version = 0;
     bool hasMore = false;
-    // The store's steady clock when it answered.
-    Duration storeTime{0};
+    // Everything acknowledged before this moment is in it.
+    BootInstant provenAt{};
 };
 
 enum class RowFault {
--- a/gentianplank/store/table_follower.cc
+++ b/gentianplank/store/table_follower.cc
@@ -10,14 +10,17 @@
 
 // Answers with changes in a second that are followed up at once.
 constexpr size_t CalmChanges = 4;
+// Changes that are kept for others who follow at second hand; several times what a storm brings
+// while one of them is away.
+constexpr size_t LongestHistory = 500;
 
 } // namespace
 
 struct TableFollower::State : std::enable_shared_from_this<TableFollower::State>
 {
-    State(RowStore &rowStore, StoreClock &storeClock, Scheduler runLater, std::string name, FollowSettings figures,
+    State(RowStore &rowStore, Scheduler runLater, std::string name, FollowSettings figures,
           FollowListener callbacks)
-        : store(rowStore), clock(storeClock), scheduler(std::move(runLater)), table(std::move(name)),
+        : store(rowStore), scheduler(std::move(runLater)), table(std::move(name)),
           settings(figures), listener(std::move(callbacks)), pause(figures.shortestPause)
     {
     }
@@ -27,7 +30,6 @@
     void readAll()
     {
         pages.clear();
-        firstPageSentAt = bootNow();
         readPage("");
     }
 
@@ -51,8 +53,7 @@
         const bool isFirst = pages.empty();
         if (isFirst) {
             firstPageVersion = result->version;
-            firstPageAt =
-                answeredNotBefore(clock, firstPageSentAt, result->storeTime, bootNow());
+            firstPageAt = result->provenAt;
         }
         const bool hasMore = result->hasMore && !result->rows.empty();
         const std::string next = hasMore ? result->rows.back().key + '\0' : "";
@@ -61,7 +62,10 @@
             readPage(next);
             return;
         }
+        history.clear();
+        historyAfter = firstPageVersion;
         replaceAll();
+        history.clear();
         version = firstPageVersion;
         prove(firstPageAt);
         follow();
@@ -87,16 +91,15 @@
     void follow()
     {
         auto weak = weak_from_this();
-        const BootInstant sentAt = bootNow();
         store.changesAfter(table, version, settings.wait, settings.wait + settings.patience,
-                           [weak, sentAt](RowResult<RowSet> result) {
+                           [weak](RowResult<RowSet> result) {
                                if (auto self = weak.lock()) {
-                                   self->takeChanges(std::move(result), sentAt);
+                                   self->takeChanges(std::move(result));
                                }
                            });
     }
 
-    void takeChanges(RowResult<RowSet> result, BootInstant sentAt)
+    void takeChanges(RowResult<RowSet> result)
     {
         if (!result && result.error().fault == RowFault::HistoryGone) {
             listener.onReachable(true, "the store dropped its history; the table is read again");
@@ -108,7 +111,7 @@
             return;
         }
         version = std::max(version, result->version);
-        const BootInstant at = answeredNotBefore(clock, sentAt, result->storeTime, bootNow());
+        const BootInstant at = result->provenAt;
         const bool hasChanges = !result->rows.empty();
         apply(std::move(result->rows));
         prove(at);
@@ -151,6 +154,13 @@
                 rows[it.key] = it;
             }
         }
+        for (const StoredRow &it : changes) {
+            history.push_back(it);
+            if (history.size() > LongestHistory) {
+                historyAfter = history.front().version;
+                history.pop_front();
+            }
+        }
         if (!changes.empty()) {
             listener.onChanges(changes);
         }
@@ -187,7 +197,6 @@
     }
 
     RowStore &store;
-    StoreClock &clock;
     Scheduler scheduler;
     std::string table;
     FollowSettings settings;
@@ -196,17 +205,19 @@
     std::map<std::string, StoredRow> rows;
     std::vector<StoredRow> pages;
     uint64_t firstPageVersion = 0;
-    BootInstant firstPageSentAt{};
     BootInstant firstPageAt{};
     uint64_t version = 0;
     BootInstant provenAt{};
     bool isReachable = false;
     std::deque<BootInstant> changedAt;
+    // Every change after `historyAfter`, in order.
+    std::deque<StoredRow> history;
+    uint64_t historyAfter = 0;
 };
 
-TableFollower::TableFollower(RowStore &store, StoreClock &clock, Scheduler scheduler,
-                             std::string table, FollowSettings settings, FollowListener listener)
-    : m_state(std::make_shared<State>(store, clock, std::move(scheduler), std::move(table), settings,
+TableFollower::TableFollower(RowStore &store, Scheduler scheduler, std::string table,
+                             FollowSettings settings, FollowListener listener)
+    : m_state(std::make_shared<State>(store, std::move(scheduler), std::move(table), settings,
                                       std::move(listener)))
 {
 }
@@ -228,6 +239,25 @@
     return m_state->provenAt;
 }
 
+std::optional<std::vector<StoredRow>> TableFollower::changesAfter(uint64_t version) const
+{
+    if (m_state->version == 0 || version < m_state->historyAfter) {
+        return std::nullopt;
+    }
+    std::vector<StoredRow> changes;
+    for (const StoredRow &it : m_state->history) {
+        if (it.version > version) {
+            changes.push_back(it);
+        }
+    }
+    return changes;
+}
+
+uint64_t TableFollower::version() const
+{
+    return m_state->version;
+}
+
 bool TableFollower::isReachable() const
 {
     return m_state->isReachable;
--- a/gentianplank/store/table_follower.h
+++ b/gentianplank/store/table_follower.h
@@ -1,15 +1,15 @@
 // Follows a table of the store: knows its rows, and since when it knows that nothing is missing.
 //
-//     TableFollower follower(store, clock, scheduler, "vms", settings, listener);
+//     TableFollower follower(store, scheduler, "vms", settings, listener);
 //     follower.start();
 //     follower.provenAt();       // all changes acknowledged before this moment are known
 #pragma once
 
 #include "gentianplank/store/row_store.h"
-#include "gentianplank/store/store_clock.h"
 
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace gentianplank {
 
@@ -43,9 +43,8 @@
 class TableFollower
 {
 public:
-    // `clock` may be shared by followers of one store, and outlives them.
-    TableFollower(RowStore &store, StoreClock &clock, Scheduler scheduler, std::string table,
-                  FollowSettings settings, FollowListener listener);
+    TableFollower(RowStore &store, Scheduler scheduler, std::string table, FollowSettings settings,
+                  FollowListener listener);
     ~TableFollower();
 
     void start();
@@ -55,6 +54,12 @@
     // The epoch while nothing was read yet.
     BootInstant provenAt() const;
 
+    // The rows that changed after a version, in order; nothing when that is no longer known.
+    std::optional<std::vector<StoredRow>> changesAfter(uint64_t version) const;
+
+    // The store's version that the rows are as of.
+    uint64_t version() const;
+
     // Whether the last call succeeded.
     bool isReachable() const;
 
--- a/gentianplank/store/table_follower_test.cc
+++ b/gentianplank/store/table_follower_test.cc
@@ -43,7 +43,7 @@
             reachable.push_back(isReachable);
         };
         follower = std::make_unique<TableFollower>(
-            store, clock,
+            store,
             [this](Duration, std::function<void()> task) { tasks.push_back(std::move(task)); },
             "t", FollowSettings{}, listener);
         follower->start();
@@ -55,7 +55,6 @@
     }
 
     StoreMock store;
-    StoreClock clock;
     std::vector<std::function<void()>> tasks;
     std::vector<StoredRow> changes;
     std::vector<bool> reachable;
@@ -72,10 +71,10 @@
 
 BOOST_FIXTURE_TEST_CASE(allPagesAreReadBeforeAnythingIsProven, Fixture)
 {
-    store.reads[0](RowSet{{row("a", 3), row("b", 4)}, 9, true, 0ms});
+    store.reads[0](RowSet{{row("a", 3), row("b", 4)}, 9, true, {}});
     BOOST_TEST(proofs == 0);
     BOOST_TEST(store.ranges[1].from == std::string("b\0", 2));
-    store.reads[1](RowSet{{row("c", 5)}, 12, false, 0ms});
+    store.reads[1](RowSet{{row("c", 5)}, 12, false, {}});
     BOOST_TEST(proofs == 1);
     BOOST_TEST(follower->rows().size() == 3U);
     // What changed while the pages were read is asked for.
@@ -84,13 +83,13 @@
 
 BOOST_FIXTURE_TEST_CASE(changesComeOnceAndInOrder, Fixture)
 {
-    store.reads[0](RowSet{{row("a", 3)}, 3, false, 0ms});
-    store.feeds[0](RowSet{{row("a", 5), row("a", 3)}, 6, false, 0ms});
+    store.reads[0](RowSet{{row("a", 3)}, 3, false, {}});
+    store.feeds[0](RowSet{{row("a", 5), row("a", 3)}, 6, false, {}});
     BOOST_TEST(follower->rows().at("a").version == 5U);
     BOOST_TEST(store.afters[1] == 6U);
     StoredRow gone = row("a", 8);
     gone.erased = true;
-    store.feeds[1](RowSet{{gone}, 8, false, 0ms});
+    store.feeds[1](RowSet{{gone}, 8, false, {}});
     BOOST_TEST(follower->rows().empty());
     BOOST_TEST(changes.size() == 3U);
 }
@@ -99,27 +98,39 @@
 // nothing that is known goes back to an older version.
 BOOST_FIXTURE_TEST_CASE(aDroppedHistoryReadsTheTableAgain, Fixture)
 {
-    store.reads[0](RowSet{{row("a", 3), row("b", 4)}, 4, false, 0ms});
-    store.feeds[0](RowSet{{row("b", 7)}, 7, false, 0ms});
+    store.reads[0](RowSet{{row("a", 3), row("b", 4)}, 4, false, {}});
+    store.feeds[0](RowSet{{row("b", 7)}, 7, false, {}});
     store.feeds[1](failed(RowFault::HistoryGone));
     BOOST_TEST(store.reads.size() == 2U);
-    store.reads[1](RowSet{{row("b", 4), row("c", 9)}, 9, false, 0ms});
+    store.reads[1](RowSet{{row("b", 4), row("c", 9)}, 9, false, {}});
     BOOST_TEST(follower->rows().count("a") == 0U);
     BOOST_TEST(follower->rows().at("b").version == 7U);
     BOOST_TEST(follower->rows().count("c") == 1U);
 }
 
+// What others are told who follow at second hand.
+BOOST_FIXTURE_TEST_CASE(theChangesAfterAVersionAreKnownForAWhile, Fixture)
+{
+    store.reads[0](RowSet{{row("a", 3)}, 4, false, {}});
+    BOOST_TEST(!follower->changesAfter(3));
+    BOOST_TEST(follower->changesAfter(4)->empty());
+    store.feeds[0](RowSet{{row("b", 6)}, 7, false, {}});
+    BOOST_TEST(follower->changesAfter(4)->size() == 1U);
+    BOOST_TEST(follower->changesAfter(6)->empty());
+    BOOST_TEST(follower->version() == 7U);
+}
+
 BOOST_FIXTURE_TEST_CASE(aStoreThatFailsProvesNothingAndIsAskedAgain, Fixture)
 {
     store.reads[0](failed(RowFault::NotDone));
     BOOST_TEST(proofs == 0);
     BOOST_REQUIRE(tasks.size() == 1U);
     tasks[0]();
-    store.reads[1](RowSet{{row("a", 3)}, 3, false, 0ms});
+    store.reads[1](RowSet{{row("a", 3)}, 3, false, {}});
     store.feeds[0](failed(RowFault::OutcomeUnknown));
     BOOST_TEST(!follower->isReachable());
     tasks[1]();
-    store.feeds[1](RowSet{{}, 3, false, 0ms});
+    store.feeds[1](RowSet{{}, 3, false, {}});
     BOOST_TEST(proofs == 2);
     BOOST_TEST(reachable.size() == 3U);
 }
