--- a/gentianplank/ctl/verbs.cc
+++ b/gentianplank/ctl/verbs.cc
@@ -21,7 +21,8 @@
 {
     return {{"Operators", adminVerbs()},
             {"Callers", callerVerbs()},
-            {"Trials with gentianplank-standin", standinVerbs()}};
+            {"Trials with gentianplank-standin", standinVerbs()},
+            {"Logs of gentianplank-entry", logVerbs()}};
 }
 
 } // namespace
--- a/gentianplank/ctl/verbs.h
+++ b/gentianplank/ctl/verbs.h
@@ -68,10 +68,11 @@
     int (*run)(const VerbCall &call);
 };
 
-// The verbs of operators, of callers, and of trials with the stand-in.
+// The verbs of operators, of callers, of trials with the stand-in, and for logs.
 std::span<const Verb> adminVerbs();
 std::span<const Verb> callerVerbs();
 std::span<const Verb> standinVerbs();
+std::span<const Verb> logVerbs();
 
 // Returns what each verb does, for the tool's help.
 std::string verbsHelp();
--- a/gentianplank/node/member_dispatcher.cc
+++ b/gentianplank/node/member_dispatcher.cc
@@ -126,6 +126,7 @@
     void broken(const JobPointer &job, const MemberReply &reply);
     void settleTransaction(const JobPointer &job, const MemberReply &reply);
     void finish(const JobPointer &job, StatementOutcome outcome);
+    void tell(const JobPointer &job, StatementOutcome outcome) const;
 
     void markUnreachable(const std::string &reason);
     void checkLife(Instant now);
@@ -169,19 +170,16 @@
         return;
     }
     if (now < unreachableUntil) {
-        job->done(unreachable(unreachableReason));
+        tell(job, unreachable(unreachableReason));
         return;
     }
     const QueuedStatement queued{job->number, job->statement.organisation, 1, 1, job->deadline};
     const auto taken = enqueue(queue, queued, now);
     if (!taken) {
-        StatementOutcome outcome =
-            notRun(ErrorCode::Busy,
-                   taken.error().fault == QueueFault::Full ? "the member's queue is full"
-                                                           : "the member can't serve it in time",
-                   taken.error().retryAfter);
-        outcome.expectedWait = gentianplank::expectedWait(queue, job->statement.organisation, 1);
-        job->done(std::move(outcome));
+        const bool isFull = taken.error().fault == QueueFault::Full;
+        tell(job, notRun(ErrorCode::Busy,
+                         isFull ? "the member's queue is full" : "the member can't serve it in time",
+                         taken.error().retryAfter));
         return;
     }
     waiting[job->number] = job;
@@ -190,7 +188,7 @@
         if (evicted != waiting.end()) {
             const JobPointer other = evicted->second;
             waiting.erase(evicted);
-            other->done(notRun(ErrorCode::Busy, "the member's queue is full", ShortestHint));
+            tell(other, notRun(ErrorCode::Busy, "the member's queue is full", ShortestHint));
         }
     }
     pump();
@@ -233,7 +231,7 @@
 {
     const auto it = pinned.find(job->statement.session);
     if (it == pinned.end() || !it->second.link->isOpen() || it->second.link->isBusy()) {
-        job->done(notRun(ErrorCode::Aborted, "the transaction is no longer open at the member"));
+        tell(job, notRun(ErrorCode::Aborted, "the transaction is no longer open at the member"));
         return;
     }
     it->second.isRunning = true;
@@ -300,7 +298,7 @@
         if (it != waiting.end()) {
             const JobPointer job = it->second;
             waiting.erase(it);
-            job->done(notRun(ErrorCode::Busy, reason, ShortestHint));
+            tell(job, notRun(ErrorCode::Busy, reason, ShortestHint));
         }
     }
     for (auto *list : {&stalled, &continuing}) {
@@ -313,7 +311,7 @@
             return true;
         });
         for (const JobPointer &it : late) {
-            it->done(notRun(ErrorCode::Busy, reason, ShortestHint));
+            tell(it, notRun(ErrorCode::Busy, reason, ShortestHint));
         }
     }
 }
@@ -660,9 +658,27 @@
         it->second.isRunning = false;
         it->second.idleSince = steadyNow();
     }
+    tell(job, std::move(outcome));
+    freed();
+}
+
+// Tells who sent the statement what became of it.
+void MemberDispatcher::State::tell(const JobPointer &job, StatementOutcome outcome) const
+{
     outcome.expectedWait = gentianplank::expectedWait(queue, job->statement.organisation, 1);
+    if (outcome.code && outcome.fate != StatementFate::Answered) {
+        logEvent("dispatch.failed", {{"id", job->statement.requestId},
+                                     {"member", entry.id},
+                                     {"organisation", job->statement.organisation},
+                                     {"epoch", job->statement.epoch},
+                                     {"waited_ms", toMilliseconds(steadyNow() - job->arrivedAt)},
+                                     {"sent", job->isSent},
+                                     {"queued", queue.waiting},
+                                     {"running", running()},
+                                     {"connections", links.size()},
+                                     {"why", outcome.reason}});
+    }
     job->done(std::move(outcome));
-    freed();
 }
 
 // Refuses what waits: other VMs or members may serve it.
@@ -679,10 +695,10 @@
     auto stopped = std::move(stalled);
     stalled.clear();
     for (const auto &[number, job] : jobs) {
-        job->done(unreachable(reason));
+        tell(job, unreachable(reason));
     }
     for (const JobPointer &job : stopped) {
-        job->done(unreachable(reason));
+        tell(job, unreachable(reason));
     }
     environment.onUnreachable(entry, reason);
 }
--- a/gentianplank/node/statement_router.cc
+++ b/gentianplank/node/statement_router.cc
@@ -231,6 +231,15 @@
         return;
     }
     run->lastReason = outcome.reason;
+    logEvent("attempt.failed", {{"id", statement.requestId},
+                                {"group", statement.group},
+                                {"vm", vm},
+                                {"member", member},
+                                {"epoch", epoch},
+                                {"attempt", run->attempts},
+                                {"fate", static_cast<int>(outcome.fate)},
+                                {"expected_wait_ms", toMilliseconds(outcome.expectedWait)},
+                                {"why", outcome.reason}});
     switch (outcome.fate) {
     case StatementFate::NotRun:
         if (outcome.code == ErrorCode::Lagging) {
