--- a/gentianplank/base/boot_clock.h
+++ b/gentianplank/base/boot_clock.h
@@ -28,8 +28,8 @@
 {
     timespec now{};
     clock_gettime(CLOCK_BOOTTIME, &now);
-    return BootInstant(std::chrono::duration_cast<Duration>(std::chrono::seconds(now.tv_sec)
-                                                            + std::chrono::nanoseconds(now.tv_nsec)));
+    return BootInstant(std::chrono::duration_cast<Duration>(std::chrono::seconds(now.tv_sec) +
+                                                            std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 } // namespace gentianplank
--- a/gentianplank/base/event_log.cc
+++ b/gentianplank/base/event_log.cc
@@ -6,8 +6,8 @@
 #include <boost/log/sinks/async_frontend.hpp>
 #include <boost/log/sinks/bounded_fifo_queue.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
-#include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/logger.hpp>
+#include <boost/log/sources/record_ostream.hpp>
 #include <boost/smart_ptr/make_shared.hpp>
 
 #include <atomic>
--- a/gentianplank/base/event_log.h
+++ b/gentianplank/base/event_log.h
@@ -17,20 +17,27 @@
 
 struct EventField
 {
-    EventField(std::string_view fieldName, std::string_view text) : name(fieldName), value(text) {}
-    EventField(std::string_view fieldName, const char *text) : name(fieldName), value(text) {}
-    EventField(std::string_view fieldName, const std::string &text) : name(fieldName), value(text)
-    {
-    }
+    EventField(std::string_view fieldName, std::string_view text)
+        : name(fieldName)
+        , value(text)
+    {}
+    EventField(std::string_view fieldName, const char *text)
+        : name(fieldName)
+        , value(text)
+    {}
+    EventField(std::string_view fieldName, const std::string &text)
+        : name(fieldName)
+        , value(text)
+    {}
     EventField(std::string_view fieldName, bool flag)
-        : name(fieldName), value(flag ? "true" : "false")
-    {
-    }
+        : name(fieldName)
+        , value(flag ? "true" : "false")
+    {}
     template <std::integral Number>
     EventField(std::string_view fieldName, Number number)
-        : name(fieldName), value(std::to_string(number))
-    {
-    }
+        : name(fieldName)
+        , value(std::to_string(number))
+    {}
 
     std::string_view name;
     std::string value;
--- a/gentianplank/ctl/log_trace.cc
+++ b/gentianplank/ctl/log_trace.cc
@@ -15,8 +15,8 @@
 constexpr int64_t AfterMs = 1000;
 
 constexpr std::array<std::string_view, 11> BeliefEvents{
-    "primary.", "group.", "member.", "store.", "configuration.", "peer.",
-    "relay.",   "duty.",  "vm.",     "start",  "stop"};
+    "primary.", "group.", "member.", "store.", "configuration.", "peer.", "relay.",
+    "duty.",    "vm.",    "start",   "stop"};
 
 std::string_view fieldOf(std::string_view line, std::string_view name)
 {
--- a/gentianplank/ctl/log_verbs.cc
+++ b/gentianplank/ctl/log_verbs.cc
@@ -1,6 +1,7 @@
 #include "gentianplank/ctl/log_trace.h"
 #include "gentianplank/ctl/verbs.h"
 
+#include <cstdint>
 #include <fstream>
 #include <iomanip>
 #include <memory>
@@ -10,6 +11,7 @@
 namespace {
 
 constexpr double MsPerSecond = 1000;
+constexpr size_t AnyNumber = SIZE_MAX;
 
 int trace(const VerbCall &call)
 {
@@ -37,8 +39,8 @@
 
 constexpr Verb Verbs[] = {
     {"trace", "REQUEST-ID LOG...",
-     "what the VMs' logs say of one request (*), and what the VMs believed around it", 2,
-     AnyNumber, trace},
+     "what the VMs' logs say of one request (*), and what the VMs believed around it", 2, AnyNumber,
+     trace},
 };
 
 } // namespace
--- a/gentianplank/daemon/configuration_controller.h
+++ b/gentianplank/daemon/configuration_controller.h
@@ -16,8 +16,8 @@
 #include "gentianplank/daemon/fleet_boards.h"
 #include "gentianplank/daemon/membership_controller.h"
 #include "gentianplank/daemon/peer_clients.h"
-#include "gentianplank/store/object_store.h"
 #include "gentianplank/proto/admin.pb.h"
+#include "gentianplank/store/object_store.h"
 
 #include <tl/expected.hpp>
 
--- a/gentianplank/daemon/daemon.cc
+++ b/gentianplank/daemon/daemon.cc
@@ -14,9 +14,9 @@
 #include "gentianplank/daemon/rate_controller.h"
 #include "gentianplank/daemon/router.h"
 #include "gentianplank/metrics/metered_store.h"
+#include "gentianplank/statement/dispatcher.h"
 #include "gentianplank/store/counting_table_store.h"
 #include "gentianplank/store/grpc_platform.h"
-#include "gentianplank/statement/dispatcher.h"
 #include "gentianplank/vm/member_log.h"
 
 #include <grpcpp/health_check_service_interface.h>
--- a/gentianplank/daemon/daemon.h
+++ b/gentianplank/daemon/daemon.h
@@ -6,8 +6,8 @@
 //     (*daemon)->shutDown();
 #pragma once
 
-#include "gentianplank/store/counting_table_store.h"
 #include "gentianplank/settings/settings.h"
+#include "gentianplank/store/counting_table_store.h"
 
 #include <tl/expected.hpp>
 
--- a/gentianplank/daemon/failover_controller.h
+++ b/gentianplank/daemon/failover_controller.h
@@ -7,10 +7,10 @@
 #include "gentianplank/base/refusal.h"
 #include "gentianplank/daemon/control_loop.h"
 #include "gentianplank/daemon/fleet_boards.h"
-#include "gentianplank/store/channel.h"
-#include "gentianplank/store/table_store.h"
 #include "gentianplank/proto/admin.pb.h"
 #include "gentianplank/proto/vm.pb.h"
+#include "gentianplank/store/channel.h"
+#include "gentianplank/store/table_store.h"
 #include "gentianplank/target/group_board.h"
 
 #include <tl/expected.hpp>
--- a/gentianplank/daemon/membership_controller.h
+++ b/gentianplank/daemon/membership_controller.h
@@ -8,8 +8,8 @@
 #include "gentianplank/daemon/control_loop.h"
 #include "gentianplank/daemon/fleet_boards.h"
 #include "gentianplank/daemon/peer_clients.h"
-#include "gentianplank/store/table_store.h"
 #include "gentianplank/proto/vm.pb.h"
+#include "gentianplank/store/table_store.h"
 #include "gentianplank/vm/standing.h"
 
 #include <functional>
--- a/gentianplank/daemon/peer_clients.h
+++ b/gentianplank/daemon/peer_clients.h
@@ -5,8 +5,8 @@
 #pragma once
 
 #include "gentianplank/daemon/control_loop.h"
-#include "gentianplank/store/channel.h"
 #include "gentianplank/proto/vm.pb.h"
+#include "gentianplank/store/channel.h"
 
 #include <functional>
 #include <memory>
--- a/gentianplank/daemon/rate_controller.h
+++ b/gentianplank/daemon/rate_controller.h
@@ -10,8 +10,8 @@
 #include "gentianplank/daemon/control_loop.h"
 #include "gentianplank/daemon/fleet_boards.h"
 #include "gentianplank/organisation/rate_gate.h"
-#include "gentianplank/store/channel.h"
 #include "gentianplank/proto/vm.pb.h"
+#include "gentianplank/store/channel.h"
 
 #include <memory>
 #include <string>
--- a/gentianplank/daemon/router.h
+++ b/gentianplank/daemon/router.h
@@ -8,8 +8,8 @@
 #pragma once
 
 #include "gentianplank/daemon/fleet_boards.h"
-#include "gentianplank/store/channel.h"
 #include "gentianplank/statement/statement.h"
+#include "gentianplank/store/channel.h"
 #include "gentianplank/target/group_board.h"
 #include "gentianplank/vm/vm_directory.h"
 
--- a/gentianplank/http/http_caller.cc
+++ b/gentianplank/http/http_caller.cc
@@ -20,7 +20,9 @@
 
 struct Connection
 {
-    explicit Connection(asio::io_context &ioContext) : stream(ioContext) {}
+    explicit Connection(asio::io_context &ioContext)
+        : stream(ioContext)
+    {}
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     Instant restsSince{};
@@ -31,9 +33,10 @@
 struct HttpCaller::State : std::enable_shared_from_this<HttpCaller::State>
 {
     State(asio::io_context &context, const std::string &text)
-        : ioContext(context), address(text), endpoint(parseEndpoint(text))
-    {
-    }
+        : ioContext(context)
+        , address(text)
+        , endpoint(parseEndpoint(text))
+    {}
 
     std::shared_ptr<Connection> takeResting()
     {
@@ -61,7 +64,8 @@
 {
     Exchange(std::shared_ptr<State> owner, HttpRequest call,
              std::function<void(HttpResult)> callback)
-        : state(std::move(owner)), done(std::move(callback))
+        : state(std::move(owner))
+        , done(std::move(callback))
     {
         request.method_string(call.method);
         request.target(call.target);
@@ -162,15 +166,13 @@
 
 HttpCaller::HttpCaller(asio::io_context &ioContext, const std::string &address)
     : m_state(std::make_shared<State>(ioContext, address))
-{
-}
+{}
 
 HttpCaller::~HttpCaller() = default;
 
 void HttpCaller::call(HttpRequest request, Duration timeout, std::function<void(HttpResult)> done)
 {
-    std::make_shared<Exchange<State>>(m_state, std::move(request), std::move(done))
-        ->start(timeout);
+    std::make_shared<Exchange<State>>(m_state, std::move(request), std::move(done))->start(timeout);
 }
 
 } // namespace gentianplank
--- a/gentianplank/http/http_listener.cc
+++ b/gentianplank/http/http_listener.cc
@@ -28,10 +28,11 @@
 struct HttpListener::State : std::enable_shared_from_this<HttpListener::State>
 {
     State(asio::io_context &context, std::string text, Handler answer)
-        : ioContext(context), address(std::move(text)), handler(std::move(answer)),
-          acceptor(context)
-    {
-    }
+        : ioContext(context)
+        , address(std::move(text))
+        , handler(std::move(answer))
+        , acceptor(context)
+    {}
 
     void accept();
 
@@ -48,7 +49,9 @@
 struct ServedConnection : std::enable_shared_from_this<ServedConnection<State>>
 {
     ServedConnection(std::shared_ptr<State> owner, asio::ip::tcp::socket socket)
-        : state(std::move(owner)), stream(std::move(socket)), timer(state->ioContext)
+        : state(std::move(owner))
+        , stream(std::move(socket))
+        , timer(state->ioContext)
     {
         ++state->connections;
     }
@@ -113,22 +116,21 @@
 
 void HttpListener::State::accept()
 {
-    acceptor.async_accept([self = shared_from_this()](beast::error_code ec,
-                                                      asio::ip::tcp::socket socket) {
-        if (ec == asio::error::operation_aborted) {
-            return;
-        }
-        if (!ec && self->connections < MostConnections) {
-            std::make_shared<ServedConnection<State>>(self, std::move(socket))->read();
-        }
-        self->accept();
-    });
+    acceptor.async_accept(
+        [self = shared_from_this()](beast::error_code ec, asio::ip::tcp::socket socket) {
+            if (ec == asio::error::operation_aborted) {
+                return;
+            }
+            if (!ec && self->connections < MostConnections) {
+                std::make_shared<ServedConnection<State>>(self, std::move(socket))->read();
+            }
+            self->accept();
+        });
 }
 
 HttpListener::HttpListener(asio::io_context &ioContext, std::string address, Handler handler)
     : m_state(std::make_shared<State>(ioContext, std::move(address), std::move(handler)))
-{
-}
+{}
 
 HttpListener::~HttpListener()
 {
--- a/gentianplank/node/caller_session.cc
+++ b/gentianplank/node/caller_session.cc
@@ -51,10 +51,12 @@
 {
     State(asio::ip::tcp::socket connection, uint64_t sessionNumber,
           const SessionEnvironment &callbacks)
-        : socket(std::move(connection)), number(sessionNumber), environment(callbacks),
-          timer(socket.get_executor()), buffer(platform::LargestMessage)
-    {
-    }
+        : socket(std::move(connection))
+        , number(sessionNumber)
+        , environment(callbacks)
+        , timer(socket.get_executor())
+        , buffer(platform::LargestMessage)
+    {}
 
     void read();
     void process();
@@ -246,17 +248,16 @@
         admitted(step, statement, *route);
         return;
     }
-    environment.rates->admit(
-        organisation, [owner = self.lock(), step, statement, chosen = *route](
-                          bool isAdmitted, Duration retryAfter) {
-            State &state = *owner->m_state;
-            if (!isAdmitted) {
-                state.refuse(step, statement, ErrorCode::Busy,
-                             "the organisation's rate is used up", retryAfter);
-                return;
-            }
-            state.admitted(step, statement, chosen);
-        });
+    environment.rates->admit(organisation, [owner = self.lock(), step, statement,
+                                            chosen = *route](bool isAdmitted, Duration retryAfter) {
+        State &state = *owner->m_state;
+        if (!isAdmitted) {
+            state.refuse(step, statement, ErrorCode::Busy, "the organisation's rate is used up",
+                         retryAfter);
+            return;
+        }
+        state.admitted(step, statement, chosen);
+    });
 }
 
 void CallerSession::State::admitted(const SessionStep &step, const TextStatement &statement,
@@ -306,17 +307,16 @@
     const StatementOutcome &outcome = result.outcome;
     const bool succeeded = outcome.fate == StatementFate::Answered && !outcome.code;
     const Duration took = steadyNow() - queryAtSteady;
-    logEvent("statement",
-             {{"id", statement.requestId},
-              {"session", number},
-              {"database", database},
-              {"organisation", organisation},
-              {"vm", result.vm},
-              {"member", result.member},
-              {"epoch", result.epoch},
-              {"took_ms", toMilliseconds(took)},
-              {"fate", static_cast<int>(outcome.fate)},
-              {"outcome", succeeded ? "done" : outcome.reason}});
+    logEvent("statement", {{"id", statement.requestId},
+                           {"session", number},
+                           {"database", database},
+                           {"organisation", organisation},
+                           {"vm", result.vm},
+                           {"member", result.member},
+                           {"epoch", result.epoch},
+                           {"took_ms", toMilliseconds(took)},
+                           {"fate", static_cast<int>(outcome.fate)},
+                           {"outcome", succeeded ? "done" : outcome.reason}});
     environment.report({succeeded, outcome.code, took});
     applyAnswer(session, step, {succeeded, outcome.state});
     if (step.continuesTransaction && outcome.fate != StatementFate::Answered) {
@@ -336,8 +336,8 @@
         }
         return;
     }
-    if (succeeded && outcome.position && step.kind != ForwardKind::Read
-        && !(step.kind == ForwardKind::Write && session.transaction != SessionTransaction::None)) {
+    if (succeeded && outcome.position && step.kind != ForwardKind::Read &&
+        !(step.kind == ForwardKind::Write && session.transaction != SessionTransaction::None)) {
         session.lastCommits[transactionGroup] = *outcome.position;
         lastCommitAt[transactionGroup] = steadyNow();
     }
@@ -357,13 +357,12 @@
 void CallerSession::State::refuse(const SessionStep &step, const TextStatement &statement,
                                   ErrorCode code, const std::string &reason, Duration retryAfter)
 {
-    logEvent("refused",
-             {{"id", statement.requestId},
-              {"session", number},
-              {"database", database},
-              {"organisation", organisation},
-              {"why", reason},
-              {"retry_after_ms", toMilliseconds(retryAfter)}});
+    logEvent("refused", {{"id", statement.requestId},
+                         {"session", number},
+                         {"database", database},
+                         {"organisation", organisation},
+                         {"why", reason},
+                         {"retry_after_ms", toMilliseconds(retryAfter)}});
     environment.report({false, code, steadyNow() - queryAtSteady});
     if (step.continuesTransaction) {
         rollBackAtMember();
@@ -438,8 +437,7 @@
 CallerSession::CallerSession(asio::ip::tcp::socket socket, uint64_t number,
                              const SessionEnvironment &environment)
     : m_state(std::make_unique<State>(std::move(socket), number, environment))
-{
-}
+{}
 
 CallerSession::~CallerSession() = default;
 
@@ -469,8 +467,8 @@
 
 void CallerSession::abortTransaction(const std::string &reason)
 {
-    if (m_state->isBusy || m_state->session.transaction == SessionTransaction::None
-        || m_state->session.transaction == SessionTransaction::Failed) {
+    if (m_state->isBusy || m_state->session.transaction == SessionTransaction::None ||
+        m_state->session.transaction == SessionTransaction::Failed) {
         return;
     }
     logEvent("transaction.aborted", {{"session", m_state->number}, {"why", reason}});
@@ -482,8 +480,8 @@
 
 bool CallerSession::isIdle() const
 {
-    return !m_state->isBusy && m_state->hasStarted && m_state->buffer.size() == 0
-        && m_state->session.transaction == SessionTransaction::None;
+    return !m_state->isBusy && m_state->hasStarted && m_state->buffer.size() == 0 &&
+           m_state->session.transaction == SessionTransaction::None;
 }
 
 } // namespace gentianplank
--- a/gentianplank/node/control.cc
+++ b/gentianplank/node/control.cc
@@ -32,6 +32,8 @@
 // In a larger zone, only the relays ask the store; the others are told by them.
 constexpr size_t LargestZoneWithoutRelays = 3;
 constexpr size_t RelaysOfZone = 2;
+// Until a fleet that starts at once has seen all its rows, its VMs would follow each other.
+constexpr Duration RelaysSettle = std::chrono::milliseconds(1000);
 constexpr Duration StoreTimeout = std::chrono::milliseconds(1500);
 constexpr Duration StoreRetryPause = std::chrono::milliseconds(200);
 // Entries that lapsed with the store are back within two seconds of its return.
@@ -84,12 +86,15 @@
 struct Control::State : std::enable_shared_from_this<Control::State>
 {
     State(EntryVmSettings vmSettings, uint64_t number)
-        : settings(std::move(vmSettings)), incarnation(number),
-          work(asio::make_work_guard(ioContext)), storeCaller(ioContext, settings.storeAddress),
-          promotionCaller(ioContext, settings.promotionAddress), store(storeCaller),
-          followed(store, secondHandEnvironment()), tickTimer(ioContext)
-    {
-    }
+        : settings(std::move(vmSettings))
+        , incarnation(number)
+        , work(asio::make_work_guard(ioContext))
+        , storeCaller(ioContext, settings.storeAddress)
+        , promotionCaller(ioContext, settings.promotionAddress)
+        , store(storeCaller)
+        , followed(store, secondHandEnvironment())
+        , tickTimer(ioContext)
+    {}
 
     // What the store says.
     void follow();
@@ -163,6 +168,7 @@
     std::shared_ptr<const FleetView> view = std::make_shared<FleetView>();
     FleetProofs proofs;
     BootInstant memberProof{};
+    BootInstant startedAt{};
     bool isPublishing = false;
     bool isRegistering = false;
     bool isRegistered = false;
@@ -219,34 +225,37 @@
     figures.wait = ConfigurationWait;
     configurationFollower = std::make_unique<TableFollower>(
         followed, scheduler, platform::OperatorTable, figures,
-        listenerOf(platform::OperatorTable,
-                   [this](const std::vector<StoredRow> &rows) { takeConfiguration(rows); },
-                   [this](BootInstant at) {
-                       proofs.configuration = at;
-                       traffic->prove(proofs);
-                       relay.advanced(platform::OperatorTable, *configurationFollower);
-                   }));
+        listenerOf(
+            platform::OperatorTable,
+            [this](const std::vector<StoredRow> &rows) { takeConfiguration(rows); },
+            [this](BootInstant at) {
+                proofs.configuration = at;
+                traffic->prove(proofs);
+                relay.advanced(platform::OperatorTable, *configurationFollower);
+            }));
     figures.wait = MemberWait;
     memberFollower = std::make_unique<TableFollower>(
         followed, scheduler, platform::MemberTable, figures,
-        listenerOf(platform::MemberTable,
-                   [this](const std::vector<StoredRow> &rows) { takeMembers(rows); },
-                   [this](BootInstant at) {
-                       memberProof = at;
-                       relay.advanced(platform::MemberTable, *memberFollower);
-                   }));
+        listenerOf(
+            platform::MemberTable,
+            [this](const std::vector<StoredRow> &rows) { takeMembers(rows); },
+            [this](BootInstant at) {
+                memberProof = at;
+                relay.advanced(platform::MemberTable, *memberFollower);
+            }));
     figures.wait = FleetWait;
     fleetFollower = std::make_unique<TableFollower>(
         followed, scheduler, FleetTable, figures,
-        listenerOf(FleetTable, [this](const std::vector<StoredRow> &rows) { takeFleet(rows); },
-                   [this](BootInstant at) {
-                       proofs.fleet = at;
-                       traffic->prove(proofs);
-                       relay.advanced(FleetTable, *fleetFollower);
-                       if (!isRegistered) {
-                           registerVm();
-                       }
-                   }));
+        listenerOf(
+            FleetTable, [this](const std::vector<StoredRow> &rows) { takeFleet(rows); },
+            [this](BootInstant at) {
+                proofs.fleet = at;
+                traffic->prove(proofs);
+                relay.advanced(FleetTable, *fleetFollower);
+                if (!isRegistered) {
+                    registerVm();
+                }
+            }));
     configurationFollower->start();
     memberFollower->start();
     fleetFollower->start();
@@ -274,7 +283,8 @@
             names.push_back(name);
         }
     }
-    if (names.size() <= LargestZoneWithoutRelays || !isRegistered || isLeaving) {
+    const bool isSettled = isRegistered && bootNow() - startedAt > RelaysSettle;
+    if (names.size() <= LargestZoneWithoutRelays || !isSettled || isLeaving) {
         return std::nullopt;
     }
     const auto ranked = rankByRendezvous("relay/" + settings.place.zone, names);
@@ -315,10 +325,9 @@
             continue;
         }
         routing = std::make_shared<const Routing>(std::move(*decoded));
-        logEvent("configuration.in_force",
-                 {{"revision", routing->revision},
-                  {"routes", routing->routes.size()},
-                  {"organisations", routing->organisations.size()}});
+        logEvent("configuration.in_force", {{"revision", routing->revision},
+                                            {"routes", routing->routes.size()},
+                                            {"organisations", routing->organisations.size()}});
         publish();
     }
 }
@@ -349,21 +358,19 @@
         MemberInView member;
         member.entry = *entry;
         const auto region = settings.regionOfZone.find(entry->zone);
-        member.place = {entry->zone,
-                        region == settings.regionOfZone.end() ? "" : region->second};
+        member.place = {entry->zone, region == settings.regionOfZone.end() ? "" : region->second};
         if (entry->isLeaving) {
             const bool wasLeaving =
                 known != members.end() && known->second.leavingSince != BootInstant{};
             member.leavingSince = wasLeaving ? known->second.leavingSince : now;
         }
         members[row.key] = member;
-        logEvent("member.known",
-                 {{"member", entry->id},
-                  {"group", entry->group},
-                  {"zone", entry->zone},
-                  {"leaving", entry->isLeaving},
-                  {"primary", entry->claimsPrimary},
-                  {"row_version", row.version}});
+        logEvent("member.known", {{"member", entry->id},
+                                  {"group", entry->group},
+                                  {"zone", entry->zone},
+                                  {"leaving", entry->isLeaving},
+                                  {"primary", entry->claimsPrimary},
+                                  {"row_version", row.version}});
     }
     publishSoon();
 }
@@ -373,15 +380,18 @@
     for (const StoredRow &row : rows) {
         if (row.key.starts_with(VmKeyPrefix)) {
             const std::string name = row.key.substr(VmKeyPrefix.size());
-            const auto record = row.erased ? tl::make_unexpected(std::string("erased"))
-                                           : decodeVmRecord(row.value);
+            const auto record =
+                row.erased ? tl::make_unexpected(std::string("erased")) : decodeVmRecord(row.value);
             if (record) {
                 vms[name] = *record;
-                wasKnownBefore = wasKnownBefore
-                    || (name == settings.name && record->incarnation != incarnation);
+                wasKnownBefore =
+                    wasKnownBefore || (name == settings.name && record->incarnation != incarnation);
             } else {
                 vms.erase(name);
             }
+            if (relayToFollow()) {
+                relay.dismissAll();
+            }
         } else if (row.key.starts_with(GroupKeyPrefix)) {
             takeGroupRow(row);
         } else if (row.key == PromotionDutyKey && !row.erased) {
@@ -413,12 +423,11 @@
     GroupState &group = groups[name];
     group.record = *record;
     group.version = row.version;
-    logEvent("group.record",
-             {{"group", name},
-              {"epoch", record->epoch},
-              {"primary", record->primary},
-              {"changing", record->phase == GroupPhase::Changing},
-              {"writer", record->writer}});
+    logEvent("group.record", {{"group", name},
+                              {"epoch", record->epoch},
+                              {"primary", record->primary},
+                              {"changing", record->phase == GroupPhase::Changing},
+                              {"writer", record->writer}});
 }
 
 void Control::State::publishSoon()
@@ -462,10 +471,9 @@
     transaction.conditions.push_back(
         {FleetTable, key, known == rows.end() ? 0 : known->second.version});
     transaction.writes.push_back({FleetTable, key, encodeVmRecord(record), 0, false});
-    store.change(std::move(transaction), StoreTimeout,
-                 [done = std::move(done)](const RowResult<uint64_t> &result) {
-                     done(result.has_value());
-                 });
+    store.change(
+        std::move(transaction), StoreTimeout,
+        [done = std::move(done)](const RowResult<uint64_t> &result) { done(result.has_value()); });
 }
 
 void Control::State::registerVm()
@@ -481,9 +489,8 @@
     }
     isRegistering = true;
     // The feed shows the row; a call whose outcome is unknown is simply made again.
-    storeVmRow(false, [this](bool) {
-        schedule(StoreRetryPause, [this] { isRegistering = false; });
-    });
+    storeVmRow(false,
+               [this](bool) { schedule(StoreRetryPause, [this] { isRegistering = false; }); });
 }
 
 void Control::State::tick()
@@ -543,8 +550,8 @@
     const BootInstant now = bootNow();
     auto ranking = dutyRanking();
     const auto holder = vms.find(duty.holder);
-    const bool isGone = dutyVersion == 0 || holder == vms.end() || holder->second.isLeaving
-        || holder->second.incarnation != duty.incarnation;
+    const bool isGone = dutyVersion == 0 || holder == vms.end() || holder->second.isLeaving ||
+                        holder->second.incarnation != duty.incarnation;
     std::erase(ranking, duty.holder);
     const auto place = std::find(ranking.begin(), ranking.end(), settings.name);
     const auto rank = static_cast<size_t>(place - ranking.begin());
@@ -575,8 +582,8 @@
 {
     isTakingDuty = true;
     const auto holder = vms.find(duty.holder);
-    mayPromoteAtOnce = dutyVersion == 0
-        || (holder != vms.end() && holder->second.incarnation != duty.incarnation);
+    mayPromoteAtOnce =
+        dutyVersion == 0 || (holder != vms.end() && holder->second.incarnation != duty.incarnation);
     RowTransaction transaction;
     transaction.conditions.push_back({FleetTable, PromotionDutyKey, dutyVersion});
     transaction.writes.push_back(
@@ -603,19 +610,19 @@
         return;
     }
     const BootInstant sentAt = bootNow();
-    store.read({FleetTable, PromotionDutyKey}, StoreTimeout,
-               [this, group, member, sentAt, done = std::move(done)](
-                   const RowResult<RowSet> &result) {
-                   const bool isHeld = result && !result->rows.empty()
-                       && result->rows.front().key == PromotionDutyKey
-                       && result->rows.front().version == dutyVersion && holdsDuty();
-                   if (!isHeld || bootNow() - sentAt > DutyProofAge) {
-                       done(platform::PromotionAnswer::NotDone, "the duty could not be proven");
-                       return;
-                   }
-                   platform::callPromotion(promotionCaller, group, member, settings.name,
-                                           dutyVersion, PromotionTimeout, done);
-               });
+    store.read(
+        {FleetTable, PromotionDutyKey}, StoreTimeout,
+        [this, group, member, sentAt, done = std::move(done)](const RowResult<RowSet> &result) {
+            const bool isHeld = result && !result->rows.empty() &&
+                                result->rows.front().key == PromotionDutyKey &&
+                                result->rows.front().version == dutyVersion && holdsDuty();
+            if (!isHeld || bootNow() - sentAt > DutyProofAge) {
+                done(platform::PromotionAnswer::NotDone, "the duty could not be proven");
+                return;
+            }
+            platform::callPromotion(promotionCaller, group, member, settings.name, dutyVersion,
+                                    PromotionTimeout, done);
+        });
 }
 
 void Control::State::superviseGroups()
@@ -652,8 +659,8 @@
         return;
     }
     const bool hasOther = std::any_of(members.begin(), members.end(), [&](const auto &it) {
-        return it.second.entry.group == name && it.first != group.record.primary
-            && !it.second.entry.isLeaving;
+        return it.second.entry.group == name && it.first != group.record.primary &&
+               !it.second.entry.isLeaving;
     });
     if (member->second.entry.isLeaving && hasOther) {
         beginChange(name, true, "the primary leaves");
@@ -736,11 +743,10 @@
                                std::function<void(RowResult<uint64_t>)> done) {
         storeRecord(record, version, std::move(done));
     };
-    environment.promote =
-        [this](const std::string &group, const std::string &member,
-               std::function<void(platform::PromotionAnswer, std::string)> done) {
-            promote(group, member, std::move(done));
-        };
+    environment.promote = [this](const std::string &group, const std::string &member,
+                                 std::function<void(platform::PromotionAnswer, std::string)> done) {
+        promote(group, member, std::move(done));
+    };
     return environment;
 }
 
@@ -760,14 +766,14 @@
 void Control::State::suspect(const std::string &group, const std::string &member)
 {
     const auto it = groups.find(group);
-    if (it == groups.end() || it->second.record.primary != member
-        || it->second.record.phase != GroupPhase::Serving) {
+    if (it == groups.end() || it->second.record.primary != member ||
+        it->second.record.phase != GroupPhase::Serving) {
         return;
     }
     const BootInstant now = bootNow();
     if (holdsDuty()) {
-        if (!it->second.change && !it->second.isConfirming
-            && now - it->second.suspectedAt > SuspicionPause) {
+        if (!it->second.change && !it->second.isConfirming &&
+            now - it->second.suspectedAt > SuspicionPause) {
             it->second.suspectedAt = now;
             confirm(group, member);
         }
@@ -834,13 +840,12 @@
     std::erase_if(confirmations, [&](const auto &it) { return it.second == confirmation; });
     GroupState &group = groups[confirmation->group];
     group.isConfirming = false;
-    logEvent("primary.suspected",
-             {{"group", confirmation->group},
-              {"member", confirmation->member},
-              {"reachable", isReachable},
-              {"unreachable_from", confirmation->unreachable}});
-    const bool isStill = group.record.primary == confirmation->member
-        && group.record.phase == GroupPhase::Serving && !group.change;
+    logEvent("primary.suspected", {{"group", confirmation->group},
+                                   {"member", confirmation->member},
+                                   {"reachable", isReachable},
+                                   {"unreachable_from", confirmation->unreachable}});
+    const bool isStill = group.record.primary == confirmation->member &&
+                         group.record.phase == GroupPhase::Serving && !group.change;
     if (!isReachable && isStill && holdsDuty()) {
         beginChange(confirmation->group, false, "no VM reaches the primary");
     }
@@ -862,8 +867,8 @@
         const auto member = members.find(frame.probe().member());
         if (member == members.end()) {
             // A holder of the duty that lost the store can't do it; silence lets others take it.
-            const bool hasStore = fleetFollower->isReachable()
-                && bootNow() - proofs.fleet < DutyStoreSilence;
+            const bool hasStore =
+                fleetFollower->isReachable() && bootNow() - proofs.fleet < DutyStoreSilence;
             if (!frame.probe().member().empty() || hasStore) {
                 reply(answer);
             }
@@ -908,8 +913,7 @@
 
 Control::Control(EntryVmSettings settings, uint64_t incarnation)
     : m_state(std::make_shared<State>(std::move(settings), incarnation))
-{
-}
+{}
 
 Control::~Control()
 {
@@ -944,6 +948,7 @@
 {
     m_state->traffic = &traffic;
     asio::post(m_state->ioContext, [state = m_state] {
+        state->startedAt = bootNow();
         state->follow();
         state->tick();
     });
--- a/gentianplank/node/feed_relay.cc
+++ b/gentianplank/node/feed_relay.cc
@@ -39,9 +39,9 @@
 
 void FeedRelay::ask(const peer::v1::FeedAsk &ask, const TableFollower *follower, Reply reply)
 {
-    const bool isNews = follower == nullptr || !follower->isReachable()
-        || follower->version() < ask.after() || !follower->changesAfter(ask.after())
-        || !follower->changesAfter(ask.after())->empty();
+    const bool isNews = follower == nullptr || !follower->isReachable() ||
+                        follower->version() < ask.after() || !follower->changesAfter(ask.after()) ||
+                        !follower->changesAfter(ask.after())->empty();
     if (follower == nullptr) {
         peer::v1::Frame frame;
         frame.mutable_feed_answer()->set_number(ask.number());
@@ -54,6 +54,20 @@
     }
 }
 
+void FeedRelay::dismissAll()
+{
+    const auto waiting = std::move(m_waiting);
+    m_waiting.clear();
+    for (const auto &[table, asks] : waiting) {
+        for (const Waiting &it : asks) {
+            peer::v1::Frame frame;
+            frame.mutable_feed_answer()->set_number(it.ask.number());
+            frame.mutable_feed_answer()->set_unknown(true);
+            it.reply(frame);
+        }
+    }
+}
+
 void FeedRelay::advanced(const std::string &table, const TableFollower &follower)
 {
     const auto waiting = std::move(m_waiting[table]);
@@ -74,9 +88,9 @@
     };
 
     State(RowStore &store, SecondHandEnvironment callbacks)
-        : direct(store), environment(std::move(callbacks))
-    {
-    }
+        : direct(store)
+        , environment(std::move(callbacks))
+    {}
 
     void fail(uint64_t number, const std::string &what)
     {
@@ -102,8 +116,7 @@
 
 SecondHandRowStore::SecondHandRowStore(RowStore &direct, SecondHandEnvironment environment)
     : m_state(std::make_shared<State>(direct, std::move(environment)))
-{
-}
+{}
 
 SecondHandRowStore::~SecondHandRowStore() = default;
 
@@ -120,8 +133,7 @@
 }
 
 void SecondHandRowStore::changesAfter(std::string table, uint64_t after, Duration wait,
-                                      Duration timeout,
-                                      std::function<void(RowResult<RowSet>)> done)
+                                      Duration timeout, std::function<void(RowResult<RowSet>)> done)
 {
     const auto relay =
         bootNow() < m_state->directUntil ? std::nullopt : m_state->environment.relay();
--- a/gentianplank/node/feed_relay.h
+++ b/gentianplank/node/feed_relay.h
@@ -26,6 +26,9 @@
     // Answers when there is something new or a younger proof.
     void ask(const peer::v1::FeedAsk &ask, const TableFollower *follower, Reply reply);
 
+    // Tells all who wait to ask the store: this VM follows another one itself.
+    void dismissAll();
+
     // The follower of a table knows more, or has a younger proof.
     void advanced(const std::string &table, const TableFollower &follower);
 
--- a/gentianplank/node/member_dispatcher.cc
+++ b/gentianplank/node/member_dispatcher.cc
@@ -91,8 +91,11 @@
 {
     State(asio::io_context &context, DispatcherEnvironment callbacks, MemberEntry member,
           DispatcherLimits figures)
-        : ioContext(context), environment(std::move(callbacks)), entry(std::move(member)),
-          limits(figures), queue(makeFairQueue(LongestQueue))
+        : ioContext(context)
+        , environment(std::move(callbacks))
+        , entry(std::move(member))
+        , limits(figures)
+        , queue(makeFairQueue(LongestQueue))
     {
         queue.slots = entry.slots;
     }
@@ -105,13 +108,16 @@
     void freed();
     void expireWaiting(Instant now);
     size_t running() const { return queue.running.size() + besideQueue; }
-    size_t mostRunning() const { return entry.slots * (limits.isFar ? FarStatementsPerSlot : 1); }
+    size_t mostRunning() const
+    {
+        return size_t{entry.slots} * (limits.isFar ? FarStatementsPerSlot : 1);
+    }
 
     // Connections.
     std::shared_ptr<MemberLink> takeIdle(const Job &job);
     bool evictIdle();
     void openLink(const JobPointer &job);
-    void opened(const JobPointer &job, MemberReply reply);
+    void opened(const JobPointer &job, const MemberReply &reply);
     void openFailed(const JobPointer &job, const MemberReply &reply);
     void park(const std::shared_ptr<MemberLink> &link, const std::string &organisation);
     void drop(const std::shared_ptr<MemberLink> &link);
@@ -177,9 +183,10 @@
     const auto taken = enqueue(queue, queued, now);
     if (!taken) {
         const bool isFull = taken.error().fault == QueueFault::Full;
-        tell(job, notRun(ErrorCode::Busy,
-                         isFull ? "the member's queue is full" : "the member can't serve it in time",
-                         taken.error().retryAfter));
+        tell(job,
+             notRun(ErrorCode::Busy,
+                    isFull ? "the member's queue is full" : "the member can't serve it in time",
+                    taken.error().retryAfter));
         return;
     }
     waiting[job->number] = job;
@@ -362,16 +369,16 @@
     environment.onConnection();
     const MemberLinkTarget target{entry.address, entry.group, entry.id,
                                   job->statement.organisation};
-    job->link = MemberLink::open(
-        ioContext, target, OpenTimeout, [weak = self, job](MemberReply reply) {
-            if (auto owner = weak.lock()) {
-                owner->m_state->opened(job, std::move(reply));
-            }
-        });
+    job->link = MemberLink::open(ioContext, target, OpenTimeout,
+                                 [weak = self, job](const MemberReply &reply) {
+                                     if (auto owner = weak.lock()) {
+                                         owner->m_state->opened(job, reply);
+                                     }
+                                 });
     links.push_back(job->link);
 }
 
-void MemberDispatcher::State::opened(const JobPointer &job, MemberReply reply)
+void MemberDispatcher::State::opened(const JobPointer &job, const MemberReply &reply)
 {
     if (reply.kind != MemberReply::Kind::Answer || reply.code) {
         openFailed(job, reply);
@@ -447,8 +454,8 @@
                           return;
                       }
                       State &state = *owner->m_state;
-                      if (reply.kind == MemberReply::Kind::Answer
-                          && reply.state == TransactionState::Idle) {
+                      if (reply.kind == MemberReply::Kind::Answer &&
+                          reply.state == TransactionState::Idle) {
                           state.park(link, organisation);
                       } else {
                           state.drop(link);
@@ -509,10 +516,10 @@
                 return;
             }
             State &state = *owner->m_state;
-            if (reply.kind != MemberReply::Kind::Answer) {
-                state.broken(job, reply);
-            } else if (reply.code && !isBegin) {
-                // What the connection knows of the session is not certain any more.
+            // After an error of such a step, what the connection knows of the session is not
+            // certain.
+            const bool isUncertain = reply.code && !isBegin;
+            if (reply.kind != MemberReply::Kind::Answer || isUncertain) {
                 state.broken(job, reply);
             } else if (reply.code) {
                 state.answered(job, std::move(reply));
@@ -551,8 +558,8 @@
     if (statement.prepared) {
         text = platform::executeText(preparedName(*statement.prepared), statement.text);
     }
-    const bool needsPosition = statement.after && statement.kind == ForwardKind::Read
-        && !statement.opensTransaction && !statement.continuesTransaction;
+    const bool needsPosition = statement.after && statement.kind == ForwardKind::Read &&
+                               !statement.opensTransaction && !statement.continuesTransaction;
     job->isSent = true;
     job->sentAt = now;
     job->sentAtBoot = bootNow();
@@ -575,8 +582,8 @@
 {
     const ForwardedStatement &statement = job->statement;
     lastReplyAt = steadyNow();
-    if (reply.code == ErrorCode::NoStatement && statement.prepared && !job->wasPreparedAgain
-        && reply.state != TransactionState::Failed && !statement.opensTransaction) {
+    if (reply.code == ErrorCode::NoStatement && statement.prepared && !job->wasPreparedAgain &&
+        reply.state != TransactionState::Failed && !statement.opensTransaction) {
         job->wasPreparedAgain = true;
         job->link->prepared.clear();
         prepareLink(job);
@@ -610,8 +617,8 @@
     switch (reply.state) {
     case TransactionState::Open:
         if (statement.opensTransaction || statement.continuesTransaction) {
-            pinned[statement.session] = {link, statement.organisation, statement.epoch,
-                                         steadyNow(), false};
+            pinned[statement.session] = {link, statement.organisation, statement.epoch, steadyNow(),
+                                         false};
             return;
         }
         break;
@@ -706,10 +713,9 @@
 // A member that takes new connections is alive, if slow; one that does not is given up.
 void MemberDispatcher::State::checkLife(Instant now)
 {
-    const bool isSuspicious =
-        std::any_of(active.begin(), active.end(), [&](const JobPointer &it) {
-            return it->isSent && now - std::max(it->sentAt, lastReplyAt) > SuspiciousSilence;
-        });
+    const bool isSuspicious = std::any_of(active.begin(), active.end(), [&](const JobPointer &it) {
+        return it->isSent && now - std::max(it->sentAt, lastReplyAt) > SuspiciousSilence;
+    });
     if (!isSuspicious || isCheckingLife) {
         return;
     }
@@ -750,8 +756,7 @@
 MemberDispatcher::MemberDispatcher(asio::io_context &ioContext, DispatcherEnvironment environment,
                                    MemberEntry entry, DispatcherLimits limits)
     : m_state(std::make_unique<State>(ioContext, std::move(environment), std::move(entry), limits))
-{
-}
+{}
 
 MemberDispatcher::~MemberDispatcher() = default;
 
@@ -817,8 +822,8 @@
 {
     const auto uses = [epoch](uint64_t own) { return own != 0 && own < epoch; };
     return std::any_of(m_state->active.begin(), m_state->active.end(),
-                       [&](const JobPointer &it) { return uses(it->statement.epoch); })
-        || std::any_of(m_state->pinned.begin(), m_state->pinned.end(),
+                       [&](const JobPointer &it) { return uses(it->statement.epoch); }) ||
+           std::any_of(m_state->pinned.begin(), m_state->pinned.end(),
                        [&](const auto &it) { return uses(it.second.epoch); });
 }
 
@@ -862,8 +867,8 @@
     m_state->checkLife(now);
     std::vector<SessionId> resting;
     for (const auto &[session, transaction] : m_state->pinned) {
-        if (!transaction.isRunning
-            && now - transaction.idleSince > m_state->limits.transactionIdle) {
+        if (!transaction.isRunning &&
+            now - transaction.idleSince > m_state->limits.transactionIdle) {
             resting.push_back(session);
         }
     }
@@ -871,8 +876,8 @@
         logEvent("transaction.idle", {{"member", m_state->entry.id}, {"session", it.session}});
         endTransaction(it);
     }
-    while (!m_state->isFirstChoice && !m_state->idle.empty()
-           && now - m_state->idle.front().since > SparePause) {
+    while (!m_state->isFirstChoice && !m_state->idle.empty() &&
+           now - m_state->idle.front().since > SparePause) {
         m_state->drop(m_state->idle.front().link);
     }
     m_state->freed();
@@ -890,8 +895,8 @@
 
 bool MemberDispatcher::isIdle() const
 {
-    return m_state->active.empty() && m_state->waiting.empty() && m_state->pinned.empty()
-        && m_state->stalled.empty() && m_state->continuing.empty();
+    return m_state->active.empty() && m_state->waiting.empty() && m_state->pinned.empty() &&
+           m_state->stalled.empty() && m_state->continuing.empty();
 }
 
 } // namespace gentianplank
--- a/gentianplank/node/member_link.cc
+++ b/gentianplank/node/member_link.cc
@@ -29,9 +29,10 @@
 struct MemberLink::State
 {
     explicit State(asio::io_context &ioContext)
-        : socket(ioContext), timer(ioContext), buffer(platform::LargestMessage)
-    {
-    }
+        : socket(ioContext)
+        , timer(ioContext)
+        , buffer(platform::LargestMessage)
+    {}
 
     asio::ip::tcp::socket socket;
     asio::steady_timer timer;
@@ -45,7 +46,9 @@
     bool isClosed = false;
 };
 
-MemberLink::MemberLink(std::unique_ptr<State> state) : m_state(std::move(state)) {}
+MemberLink::MemberLink(std::unique_ptr<State> state)
+    : m_state(std::move(state))
+{}
 
 MemberLink::~MemberLink() = default;
 
@@ -197,7 +200,8 @@
     m_state->timer.async_wait([weak = weak_from_this()](error_code ec) {
         auto self = weak.lock();
         // A wait that ended just before the timer was set anew says nothing.
-        const bool isDue = self && self->m_state->timer.expiry() <= std::chrono::steady_clock::now();
+        const bool isDue =
+            self && self->m_state->timer.expiry() <= std::chrono::steady_clock::now();
         if (!ec && isDue && self->isBusy() && !self->m_state->isClosed) {
             self->fail(MemberReply::Kind::TimedOut, "no answer in time");
         }
--- a/gentianplank/node/node_metrics.cc
+++ b/gentianplank/node/node_metrics.cc
@@ -13,8 +13,8 @@
 namespace {
 
 // From a fast read to the longest statement limit, in seconds.
-const prometheus::Histogram::BucketBoundaries LatencyBuckets{
-    0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6};
+const prometheus::Histogram::BucketBoundaries LatencyBuckets{0.002, 0.005, 0.01, 0.02, 0.05,
+                                                             0.1,   0.2,   0.4,  0.8,  1.6};
 
 constexpr double SecondsPerMicrosecond = 1e-6;
 
@@ -23,29 +23,25 @@
 struct NodeMetrics::State
 {
     prometheus::Registry registry;
-    prometheus::Counter &succeeded =
-        statements().Add({{"outcome", "done"}});
+    prometheus::Counter &succeeded = statements().Add({{"outcome", "done"}});
     prometheus::Counter &promised = statements().Add({{"outcome", "not_kept"}});
     prometheus::Counter &unknown = statements().Add({{"outcome", "unknown"}});
     prometheus::Counter &failed = statements().Add({{"outcome", "failed"}});
-    prometheus::Histogram &latency =
-        prometheus::BuildHistogram()
-            .Name("gentianplank_statement_seconds")
-            .Help("Time from a statement's arrival to its outcome")
-            .Register(registry)
-            .Add({}, LatencyBuckets);
-    prometheus::Counter &connections =
-        prometheus::BuildCounter()
-            .Name("gentianplank_member_connections_total")
-            .Help("Connections opened to members")
-            .Register(registry)
-            .Add({});
-    prometheus::Gauge &droppedLines =
-        prometheus::BuildGauge()
-            .Name("gentianplank_log_lines_dropped")
-            .Help("Log lines dropped since the start")
-            .Register(registry)
-            .Add({});
+    prometheus::Histogram &latency = prometheus::BuildHistogram()
+                                         .Name("gentianplank_statement_seconds")
+                                         .Help("Time from a statement's arrival to its outcome")
+                                         .Register(registry)
+                                         .Add({}, LatencyBuckets);
+    prometheus::Counter &connections = prometheus::BuildCounter()
+                                           .Name("gentianplank_member_connections_total")
+                                           .Help("Connections opened to members")
+                                           .Register(registry)
+                                           .Add({});
+    prometheus::Gauge &droppedLines = prometheus::BuildGauge()
+                                          .Name("gentianplank_log_lines_dropped")
+                                          .Help("Log lines dropped since the start")
+                                          .Register(registry)
+                                          .Add({});
 
 private:
     prometheus::Family<prometheus::Counter> &statements()
@@ -57,7 +53,9 @@
     }
 };
 
-NodeMetrics::NodeMetrics() : m_state(std::make_unique<State>()) {}
+NodeMetrics::NodeMetrics()
+    : m_state(std::make_unique<State>())
+{}
 
 NodeMetrics::~NodeMetrics() = default;
 
--- a/gentianplank/node/peer_mesh.cc
+++ b/gentianplank/node/peer_mesh.cc
@@ -3,6 +3,7 @@
 #include "gentianplank/base/event_log.h"
 #include "gentianplank/http/endpoint.h"
 
+#include <algorithm>
 #include <map>
 
 namespace gentianplank {
@@ -59,10 +60,12 @@
 struct PeerMesh::State : std::enable_shared_from_this<PeerMesh::State>
 {
     State(asio::io_context &context, std::string name, uint64_t number, PeerMeshHandler callbacks)
-        : ioContext(context), ownName(std::move(name)), incarnation(number),
-          handler(std::move(callbacks)), acceptor(context)
-    {
-    }
+        : ioContext(context)
+        , ownName(std::move(name))
+        , incarnation(number)
+        , handler(std::move(callbacks))
+        , acceptor(context)
+    {}
 
     std::shared_ptr<PeerLink> linkTo(Peer &peer);
     void linkOpened(const std::string &vm);
@@ -166,9 +169,9 @@
         }
     }
     for (const OutcomeHandler &done : lost) {
-        StatementOutcome outcome = wasOpen
-            ? unknownOutcome(ErrorCode::Unknown, "the link to " + vm + " broke: " + what)
-            : unreachable(vm + " can't be reached: " + what);
+        StatementOutcome outcome =
+            wasOpen ? unknownOutcome(ErrorCode::Unknown, "the link to " + vm + " broke: " + what)
+                    : unreachable(vm + " can't be reached: " + what);
         outcome.isUnreachable = true;
         done(std::move(outcome));
     }
@@ -268,10 +271,9 @@
 
 PeerMesh::PeerMesh(asio::io_context &ioContext, std::string ownName, uint64_t incarnation,
                    PeerMeshHandler handler)
-    : m_state(std::make_shared<State>(ioContext, std::move(ownName), incarnation,
-                                      std::move(handler)))
-{
-}
+    : m_state(
+          std::make_shared<State>(ioContext, std::move(ownName), incarnation, std::move(handler)))
+{}
 
 PeerMesh::~PeerMesh() = default;
 
@@ -317,11 +319,11 @@
         m_state->peers[it.name] = std::move(peer);
     }
     std::vector<std::string> gone;
-    for (auto &[name, peer] : m_state->peers) {
-        const bool isListed = std::any_of(vms.begin(), vms.end(),
-                                          [&](const VmRecord &it) { return it.name == name; });
+    for (const auto &known : m_state->peers) {
+        const bool isListed = std::any_of(
+            vms.begin(), vms.end(), [&](const VmRecord &it) { return it.name == known.first; });
         if (!isListed) {
-            gone.push_back(name);
+            gone.push_back(known.first);
         }
     }
     for (const std::string &name : gone) {
@@ -333,8 +335,8 @@
 bool PeerMesh::isReachable(const std::string &vm) const
 {
     const auto it = m_state->peers.find(vm);
-    return it != m_state->peers.end() && !it->second.isLeaving
-        && (it->second.link || steadyNow() >= it->second.failedUntil);
+    return it != m_state->peers.end() && !it->second.isLeaving &&
+           (it->second.link || steadyNow() >= it->second.failedUntil);
 }
 
 void PeerMesh::call(const std::string &vm, const ForwardedStatement &statement, OutcomeHandler done)
--- a/gentianplank/node/primary_change.cc
+++ b/gentianplank/node/primary_change.cc
@@ -109,8 +109,7 @@
     environment.notify(record.group, record.epoch, record.isOrderly);
     later(ReleaseCheckInterval, [](State &state) {
         const auto check = [](State &it, const auto &again) -> void {
-            const bool hasLapsed =
-                bootNow() - it.changingAt > PrimaryLease + LeaseMargin;
+            const bool hasLapsed = bootNow() - it.changingAt > PrimaryLease + LeaseMargin;
             if (it.isReleasedByAll() || hasLapsed) {
                 logEvent("primary.given_up",
                          {{"group", it.record.group},
@@ -135,9 +134,8 @@
         if (releasedBy.count(waited.first) != 0) {
             return true;
         }
-        const auto it = std::find_if(view->vms.begin(), view->vms.end(), [&](const VmRecord &vm) {
-            return vm.name == waited.first;
-        });
+        const auto it = std::find_if(view->vms.begin(), view->vms.end(),
+                                     [&](const VmRecord &vm) { return vm.name == waited.first; });
         return it != view->vms.end() && it->incarnation != waited.second;
     });
 }
@@ -183,16 +181,15 @@
 {
     // Someone leads a later term already: a promotion whose outcome was not known.
     for (const Candidate &it : candidates) {
-        if (it.status.isPrimary && it.entry.id != record.primary
-            && it.status.term > record.term) {
+        if (it.status.isPrimary && it.entry.id != record.primary && it.status.term > record.term) {
             storeServing(it.entry, it.status.term);
             return;
         }
     }
     const Candidate *best = nullptr;
     for (const Candidate &it : candidates) {
-        const bool mayLead = it.entry.id != record.primary && !it.status.isPrimary
-            && !it.entry.isLeaving && refused.count(it.entry.id) == 0;
+        const bool mayLead = it.entry.id != record.primary && !it.status.isPrimary &&
+                             !it.entry.isLeaving && refused.count(it.entry.id) == 0;
         if (mayLead && (best == nullptr || best->status.position < it.status.position)) {
             best = &it;
         }
@@ -230,13 +227,12 @@
         end(false, "too many promotions without effect");
         return;
     }
-    logEvent("primary.promote",
-             {{"group", record.group},
-              {"member", candidate.entry.id},
-              {"epoch", record.epoch},
-              {"position_term", candidate.status.position.term},
-              {"position", candidate.status.position.position},
-              {"old_position", oldPrimary ? oldPrimary->position.position : 0}});
+    logEvent("primary.promote", {{"group", record.group},
+                                 {"member", candidate.entry.id},
+                                 {"epoch", record.epoch},
+                                 {"position_term", candidate.status.position.term},
+                                 {"position", candidate.status.position.position},
+                                 {"old_position", oldPrimary ? oldPrimary->position.position : 0}});
     environment.promote(
         record.group, candidate.entry.id,
         [weak = self, candidate](platform::PromotionAnswer answer, const std::string &what) {
@@ -245,11 +241,10 @@
                 return;
             }
             State &state = *owner->m_state;
-            logEvent("primary.promotion_answer",
-                     {{"group", state.record.group},
-                      {"member", candidate.entry.id},
-                      {"answer", static_cast<int>(answer)},
-                      {"what", what}});
+            logEvent("primary.promotion_answer", {{"group", state.record.group},
+                                                  {"member", candidate.entry.id},
+                                                  {"answer", static_cast<int>(answer)},
+                                                  {"what", what}});
             switch (answer) {
             case platform::PromotionAnswer::Accepted:
             case platform::PromotionAnswer::Unknown:
@@ -296,26 +291,26 @@
     serving.term = term;
     serving.isOrderly = false;
     serving.writer = ownName;
-    environment.store(
-        serving, version, [weak = self, serving, old = record.primary](RowResult<uint64_t> result) {
-            auto owner = weak.lock();
-            if (!owner) {
-                return;
-            }
-            State &state = *owner->m_state;
-            if (!result && result.error().fault == RowFault::NotDone) {
-                state.later(RetryPause, [](State &it) { it.compare(); });
-                return;
-            }
-            if (!result) {
-                state.end(false, "the record was not stored: " + result.error().what);
-                return;
-            }
-            if (old != serving.primary) {
-                state.demoteOld(serving.term);
-            }
-            state.end(true, "primary is " + serving.primary);
-        });
+    environment.store(serving, version,
+                      [weak = self, serving, old = record.primary](RowResult<uint64_t> result) {
+                          auto owner = weak.lock();
+                          if (!owner) {
+                              return;
+                          }
+                          State &state = *owner->m_state;
+                          if (!result && result.error().fault == RowFault::NotDone) {
+                              state.later(RetryPause, [](State &it) { it.compare(); });
+                              return;
+                          }
+                          if (!result) {
+                              state.end(false, "the record was not stored: " + result.error().what);
+                              return;
+                          }
+                          if (old != serving.primary) {
+                              state.demoteOld(serving.term);
+                          }
+                          state.end(true, "primary is " + serving.primary);
+                      });
 }
 
 void PrimaryChange::State::demoteOld(uint64_t term) const
@@ -333,11 +328,10 @@
         return;
     }
     hasEnded = true;
-    logEvent("primary.change_end",
-             {{"group", record.group},
-              {"succeeded", succeeded},
-              {"what", what},
-              {"took_ms", toMilliseconds(bootNow() - begunAt)}});
+    logEvent("primary.change_end", {{"group", record.group},
+                                    {"succeeded", succeeded},
+                                    {"what", what},
+                                    {"took_ms", toMilliseconds(bootNow() - begunAt)}});
     onEnd(succeeded);
 }
 
@@ -360,12 +354,11 @@
     m_state->self = weak_from_this();
     m_state->begunAt = bootNow();
     m_state->reason = reason;
-    logEvent("primary.change_begin",
-             {{"group", m_state->record.group},
-              {"primary", m_state->record.primary},
-              {"epoch", m_state->record.epoch},
-              {"orderly", isOrderly},
-              {"why", reason}});
+    logEvent("primary.change_begin", {{"group", m_state->record.group},
+                                      {"primary", m_state->record.primary},
+                                      {"epoch", m_state->record.epoch},
+                                      {"orderly", isOrderly},
+                                      {"why", reason}});
     if (m_state->record.phase == GroupPhase::Changing) {
         m_state->changingAt = bootNow();
         m_state->awaitReleases();
--- a/gentianplank/node/rate_exchange.cc
+++ b/gentianplank/node/rate_exchange.cc
@@ -85,14 +85,13 @@
     for (const std::string &vm : organisation.owners) {
         const Ask &ask = organisation.asks[vm];
         const bool isOutstanding = ask.isOutstanding && now - ask.askedAt < AskTimeout;
-        if (vm != ownName && !isOutstanding && now >= ask.emptyUntil
-            && environment.isReachable(vm)) {
+        if (vm != ownName && !isOutstanding && now >= ask.emptyUntil &&
+            environment.isReachable(vm)) {
             chosen.push_back(vm);
         }
     }
-    std::stable_sort(chosen.begin(), chosen.end(), [this](const auto &a, const auto &b) {
-        return distances[a] < distances[b];
-    });
+    std::stable_sort(chosen.begin(), chosen.end(),
+                     [this](const auto &a, const auto &b) { return distances[a] < distances[b]; });
     const bool isContested = now - organisation.refusedAt < ContestedFor;
     if (!isContested) {
         const size_t most = hasOutstanding(organisation, now) ? 0 : 1;
@@ -122,16 +121,16 @@
 {
     const double perSecond = std::max(organisation.limits.perSecond, 0.1);
     const double backlog = std::max(1.0, organisation.rate.demand - perSecond);
-    const auto wait = std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>(backlog / perSecond));
+    const auto wait =
+        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(backlog / perSecond));
     return std::clamp(wait, ShortestHint, LongestHint);
 }
 
 void RateExchange::State::serveWaiting(OrganisationState &organisation, Instant now)
 {
     while (!organisation.waiting.empty()) {
-        const bool isLate = now - organisation.waiting.front().since > LongestWait
-            || !hasOutstanding(organisation, now);
+        const bool isLate = now - organisation.waiting.front().since > LongestWait ||
+                            !hasOutstanding(organisation, now);
         // The demand was counted when the operation came.
         const double demand = organisation.rate.demand;
         const bool hasToken = takeToken(organisation.rate, now);
@@ -173,18 +172,18 @@
     for (const auto &[name, limits] : view.routing->organisations) {
         const bool isNew = m_state->organisations.count(name) == 0;
         OrganisationState &organisation = m_state->organisations[name];
-        const bool isOther = isNew || organisation.limits.perSecond != limits.perSecond
-            || organisation.limits.burst != limits.burst;
+        const bool isOther = isNew || organisation.limits.perSecond != limits.perSecond ||
+                             organisation.limits.burst != limits.burst;
         organisation.limits = limits;
         organisation.owners = rankByRendezvous("rate/" + name, names);
         const auto wanted = static_cast<size_t>(limits.burst / LeastBurstOfPart);
         const size_t owners = std::clamp(wanted, LeastOwners, MostOwners);
         organisation.owners.resize(std::min(organisation.owners.size(), owners));
         const bool isOwner = std::find(organisation.owners.begin(), organisation.owners.end(),
-                                       m_state->ownName)
-            != organisation.owners.end();
+                                       m_state->ownName) != organisation.owners.end();
         const auto n = static_cast<double>(organisation.owners.size());
-        const RatePart part = isOwner ? RatePart{limits.perSecond / n, limits.burst / n} : RatePart{};
+        const RatePart part =
+            isOwner ? RatePart{limits.perSecond / n, limits.burst / n} : RatePart{};
         const bool isFirst = isNew && !m_state->hasView;
         setPart(organisation.rate, part, now, isFirst ? firstDelay : PartDelay);
         if (isOther) {
--- a/gentianplank/node/statement_router.cc
+++ b/gentianplank/node/statement_router.cc
@@ -128,8 +128,8 @@
     const auto known = view->groups.find(group);
     const Instant now = steadyNow();
     const bool readsOwnWrites = run->request.consistency == Consistency::ReadYourWrites;
-    const bool isFreshCommit = readsOwnWrites && run->request.lastCommit
-        && now - run->request.lastCommitAt < ReplicationTime;
+    const bool isFreshCommit = readsOwnWrites && run->request.lastCommit &&
+                               now - run->request.lastCommitAt < ReplicationTime;
     std::vector<ReadCandidate> candidates;
     for (const auto &[id, member] : view->members) {
         if (member.entry.group != group || member.leavingSince != BootInstant{}) {
@@ -204,11 +204,11 @@
     statement.epoch = epoch;
     statement.timeout = run->request.deadline - now;
     ++members[member].inFlight;
-    environment.execute(vm, statement,
-                        [self = shared_from_this(), run, vm, member, epoch](
-                            StatementOutcome outcome) {
-                            self->take(run, vm, member, epoch, std::move(outcome));
-                        });
+    environment.execute(
+        vm, statement,
+        [self = shared_from_this(), run, vm, member, epoch](StatementOutcome outcome) {
+            self->take(run, vm, member, epoch, std::move(outcome));
+        });
 }
 
 void StatementRouter::State::take(const RunPointer &run, const std::string &vm,
@@ -280,12 +280,12 @@
 {
     const Instant now = steadyNow();
     // A queue that can't serve the statement in time says so at once, and so does its caller hear.
-    const bool isHopeless = outcome.retryAfter > run->request.deadline - now
-        || (needsPrimary(run->request) && outcome.retryAfter > Duration::zero()
-            && !outcome.isUnreachable);
+    const bool isHopeless = outcome.retryAfter > run->request.deadline - now ||
+                            (needsPrimary(run->request) && outcome.retryAfter > Duration::zero() &&
+                             !outcome.isUnreachable);
     if (run->attempts >= MostAttempts || now + pause >= run->request.deadline || isHopeless) {
-        StatementOutcome refusal = notRun(ErrorCode::Busy, outcome.reason,
-                                          std::max(outcome.retryAfter, ShortestHint));
+        StatementOutcome refusal =
+            notRun(ErrorCode::Busy, outcome.reason, std::max(outcome.retryAfter, ShortestHint));
         run->done({settled(*run, std::move(refusal)), "", "", 0});
         return;
     }
@@ -324,9 +324,9 @@
     if (outcome.fate == StatementFate::NotRun && inTransaction) {
         outcome.code = ErrorCode::Aborted;
     }
-    outcome.state =
-        inTransaction && statement.kind != ForwardKind::Commit ? TransactionState::Failed
-                                                               : TransactionState::Idle;
+    outcome.state = inTransaction && statement.kind != ForwardKind::Commit
+                        ? TransactionState::Failed
+                        : TransactionState::Idle;
     return outcome;
 }
 
--- a/gentianplank/node/traffic.cc
+++ b/gentianplank/node/traffic.cc
@@ -58,10 +58,12 @@
 struct Traffic::State : std::enable_shared_from_this<Traffic::State>
 {
     State(EntryVmSettings vmSettings, uint64_t number, TrafficHandler callbacks)
-        : settings(std::move(vmSettings)), incarnation(number), handler(std::move(callbacks)),
-          tickTimer(ioContext), acceptor(ioContext)
-    {
-    }
+        : settings(std::move(vmSettings))
+        , incarnation(number)
+        , handler(std::move(callbacks))
+        , tickTimer(ioContext)
+        , acceptor(ioContext)
+    {}
 
     std::optional<std::string> listen();
     void makeParts();
@@ -181,16 +183,15 @@
     meshHandler.onLost = [this](const std::string &vm) { handler.onPeerLost(vm); };
     meshHandler.onPong = [this](const std::string &, const peer::v1::Pong &pong,
                                 BootInstant sentAt) { takePong(pong, sentAt); };
-    mesh = std::make_unique<PeerMesh>(ioContext, settings.name, incarnation,
-                                      std::move(meshHandler));
+    mesh =
+        std::make_unique<PeerMesh>(ioContext, settings.name, incarnation, std::move(meshHandler));
 
     rates = std::make_unique<RateExchange>(
         settings.name, settings.place,
-        RateExchangeEnvironment{
-            [this](const std::string &vm) { return mesh->isReachable(vm); },
-            [this](const std::string &vm, const peer::v1::Frame &frame) {
-                return mesh->send(vm, frame);
-            }});
+        RateExchangeEnvironment{[this](const std::string &vm) { return mesh->isReachable(vm); },
+                                [this](const std::string &vm, const peer::v1::Frame &frame) {
+                                    return mesh->send(vm, frame);
+                                }});
 
     RouterEnvironment routerEnvironment;
     routerEnvironment.view = [this] { return view; };
@@ -230,8 +231,8 @@
         const size_t most = settings.fileDescriptors - ReservedDescriptors;
         if (!ec && sessions.size() < most) {
             const uint64_t number = nextSession++;
-            auto session = std::make_shared<CallerSession>(std::move(socket), number,
-                                                           sessionEnvironment);
+            auto session =
+                std::make_shared<CallerSession>(std::move(socket), number, sessionEnvironment);
             sessions[number] = session;
             session->start();
         } else if (!ec) {
@@ -280,8 +281,8 @@
 
 bool Traffic::State::hasProvenConfiguration() const
 {
-    return view->routing
-        && bootNow() - proofs.configuration < settings.revocationLimit - RevocationMargin;
+    return view->routing &&
+           bootNow() - proofs.configuration < settings.revocationLimit - RevocationMargin;
 }
 
 bool Traffic::State::isReady() const
@@ -301,9 +302,9 @@
         return std::nullopt;
     }
     const auto member = view->members.find(it->second.primary);
-    const bool isLeavingTooLong = member != view->members.end()
-        && member->second.leavingSince != BootInstant{}
-        && bootNow() - member->second.leavingSince > settings.drainLimit - DrainMargin;
+    const bool isLeavingTooLong =
+        member != view->members.end() && member->second.leavingSince != BootInstant{} &&
+        bootNow() - member->second.leavingSince > settings.drainLimit - DrainMargin;
     if (isLeavingTooLong) {
         return std::nullopt;
     }
@@ -325,9 +326,9 @@
 {
     const auto it = view->groups.find(group);
     const auto released = releasedEpochs.find(group);
-    return it != view->groups.end() && it->second.epoch == epoch
-        && (released == releasedEpochs.end() || epoch >= released->second)
-        && gentianplank::mayUsePrimary(rightTo(it->second), bootNow());
+    return it != view->groups.end() && it->second.epoch == epoch &&
+           (released == releasedEpochs.end() || epoch >= released->second) &&
+           gentianplank::mayUsePrimary(rightTo(it->second), bootNow());
 }
 
 std::shared_ptr<MemberDispatcher> Traffic::State::dispatcherFor(const std::string &member)
@@ -356,8 +357,7 @@
     };
     environment.onConnection = [this] { metrics.countConnection(); };
     auto dispatcher = std::make_shared<MemberDispatcher>(
-        ioContext, std::move(environment), it->second.entry,
-        dispatcherLimits(it->second));
+        ioContext, std::move(environment), it->second.entry, dispatcherLimits(it->second));
     dispatchers[member] = dispatcher;
     return dispatcher;
 }
@@ -386,8 +386,8 @@
         }
         it->second->update(member->second.entry, dispatcherLimits(member->second));
         const auto ranked = dispatchersFor(it->first, member->second.place, view->vms);
-        it->second->setFirstChoice(!ranked.empty() && ranked.front()->name == settings.name
-                                   && !isHandedOver);
+        it->second->setFirstChoice(!ranked.empty() && ranked.front()->name == settings.name &&
+                                   !isHandedOver);
         ++it;
     }
 }
@@ -422,20 +422,19 @@
     if (frame.has_execute()) {
         ForwardedStatement statement = fromWire(frame.execute());
         statement.session.origin = mesh->originOf(link);
-        executeHere(statement, [link, call = frame.execute().call()](
-                                   const StatementOutcome &outcome) {
-            peer::v1::Frame reply;
-            reply.mutable_answer()->set_call(call);
-            toWire(outcome, reply.mutable_answer());
-            link->send(reply);
-        });
+        executeHere(statement,
+                    [link, call = frame.execute().call()](const StatementOutcome &outcome) {
+                        peer::v1::Frame reply;
+                        reply.mutable_answer()->set_call(call);
+                        toWire(outcome, reply.mutable_answer());
+                        link->send(reply);
+                    });
     } else if (frame.has_ping()) {
         link->send(pong(frame.ping()));
     } else if (frame.has_end_transaction()) {
         const auto it = dispatchers.find(frame.end_transaction().member());
         if (it != dispatchers.end()) {
-            it->second->endTransaction(
-                {mesh->originOf(link), frame.end_transaction().session()});
+            it->second->endTransaction({mesh->originOf(link), frame.end_transaction().session()});
         }
     } else if (frame.has_rate_ask()) {
         peer::v1::Frame reply;
@@ -478,8 +477,8 @@
             auto *it = pong->add_proofs();
             it->set_group(group);
             it->set_epoch(record.epoch);
-            it->set_age_ms(
-                static_cast<uint32_t>(toMilliseconds(now - rightTo(record).provenAt)) + 1);
+            it->set_age_ms(static_cast<uint32_t>(toMilliseconds(now - rightTo(record).provenAt)) +
+                           1);
         }
     }
     return frame;
@@ -537,8 +536,7 @@
                                   const peer::v1::SampleAsk &ask) const
 {
     const auto history = histories.find(ask.group());
-    const auto sample =
-        history == histories.end() ? std::nullopt : newestSample(history->second);
+    const auto sample = history == histories.end() ? std::nullopt : newestSample(history->second);
     if (!sample || !mayUsePrimary(ask.group(), history->second.epoch)) {
         return;
     }
@@ -556,8 +554,8 @@
 {
     const auto &sample = answer.sample();
     const auto question = sampleQuestions.find(sample.group());
-    if (question == sampleQuestions.end() || question->second.number != answer.number()
-        || !mayUsePrimary(sample.group(), sample.epoch())) {
+    if (question == sampleQuestions.end() || question->second.number != answer.number() ||
+        !mayUsePrimary(sample.group(), sample.epoch())) {
         return;
     }
     // The answer was made after the question was asked.
--- a/gentianplank/organisation/shared_rate.h
+++ b/gentianplank/organisation/shared_rate.h
@@ -59,7 +59,8 @@
 };
 
 // Sets the VM's part. A part that shrinks fills less at once, and tokens above its burst are lost
-// after LoweringTime, so that an organisation may use what it had been allowed. A part that grows does so after `delay`, when every VM that filled it before has stopped.
+// after LoweringTime, so that an organisation may use what it had been allowed. A part that grows
+// does so after `delay`, when every VM that filled it before has stopped.
 void setPart(SharedRate &rate, const RatePart &part, Instant now, Duration delay);
 
 // Takes one token if there is one. Counts as demand either way.
@@ -70,8 +71,8 @@
 // spread over many VMs that hold a token each.
 double tokensWanted(SharedRate &rate, size_t waiting, Instant now);
 
-// Gives up at most `asked` tokens to `vm`, which has that demand, and returns how many: what was set
-// aside for it, and what this VM does not need itself.
+// Gives up at most `asked` tokens to `vm`, which has that demand, and returns how many: what was
+// set aside for it, and what this VM does not need itself.
 double giveTokens(SharedRate &rate, const std::string &vm, double asked, double demand,
                   Instant now);
 
--- a/gentianplank/peer/peer_link.cc
+++ b/gentianplank/peer/peer_link.cc
@@ -51,10 +51,10 @@
 struct PeerLink::State
 {
     State(asio::ip::tcp::socket connection, PeerLinkHandler callbacks)
-        : socket(std::move(connection)), handler(std::move(callbacks)),
-          connectTimer(socket.get_executor())
-    {
-    }
+        : socket(std::move(connection))
+        , handler(std::move(callbacks))
+        , connectTimer(socket.get_executor())
+    {}
 
     asio::ip::tcp::socket socket;
     PeerLinkHandler handler;
@@ -68,7 +68,9 @@
     bool isClosed = false;
 };
 
-PeerLink::PeerLink(std::unique_ptr<State> state) : m_state(std::move(state)) {}
+PeerLink::PeerLink(std::unique_ptr<State> state)
+    : m_state(std::move(state))
+{}
 
 PeerLink::~PeerLink() = default;
 
@@ -149,19 +151,18 @@
 
 void PeerLink::read()
 {
-    m_state->socket.async_read_some(asio::buffer(m_state->chunk),
-                                    [self = shared_from_this()](error_code ec, size_t n) {
-                                        if (ec) {
-                                            self->fail("read: " + ec.message());
-                                            return;
-                                        }
-                                        self->m_state->received.append(self->m_state->chunk.data(),
-                                                                       n);
-                                        self->readFrames();
-                                        if (!self->m_state->isClosed) {
-                                            self->read();
-                                        }
-                                    });
+    m_state->socket.async_read_some(
+        asio::buffer(m_state->chunk), [self = shared_from_this()](error_code ec, size_t n) {
+            if (ec) {
+                self->fail("read: " + ec.message());
+                return;
+            }
+            self->m_state->received.append(self->m_state->chunk.data(), n);
+            self->readFrames();
+            if (!self->m_state->isClosed) {
+                self->read();
+            }
+        });
 }
 
 void PeerLink::readFrames()
--- a/gentianplank/platform/http_row_store.cc
+++ b/gentianplank/platform/http_row_store.cc
@@ -128,11 +128,11 @@
     if (!range.from.empty()) {
         target += "&from=" + percentEncoded(range.from);
     }
-    m_caller.call(
-        {.method = "GET", .target = std::move(target), .body = {}, .headers = {}}, timeout,
-        [this, sentAt = bootNow(), done = std::move(done)](const HttpResult &result) {
-            done(decodeRowSet(result, m_clock, sentAt));
-        });
+    m_caller.call({.method = "GET", .target = std::move(target), .body = {}, .headers = {}},
+                  timeout,
+                  [this, sentAt = bootNow(), done = std::move(done)](const HttpResult &result) {
+                      done(decodeRowSet(result, m_clock, sentAt));
+                  });
 }
 
 void HttpRowStore::change(RowTransaction transaction, Duration timeout,
@@ -152,9 +152,9 @@
     for (const RowCondition &it : transaction.erasures) {
         body["deletes"].push_back(rowName(it.table, it.key));
     }
-    m_caller.call(
-        {.method = "POST", .target = "/rows-tx", .body = body.dump(), .headers = {}}, timeout,
-        [done = std::move(done)](HttpResult result) { done(decodeChange(result)); });
+    m_caller.call({.method = "POST", .target = "/rows-tx", .body = body.dump(), .headers = {}},
+                  timeout,
+                  [done = std::move(done)](HttpResult result) { done(decodeChange(result)); });
 }
 
 void HttpRowStore::changesAfter(std::string table, uint64_t after, Duration wait, Duration timeout,
@@ -162,8 +162,8 @@
 {
     m_caller.call(
         {.method = "GET",
-         .target = "/rows-feed?table=" + percentEncoded(table) + "&after=" + std::to_string(after)
-             + "&wait-ms=" + std::to_string(toMilliseconds(wait)),
+         .target = "/rows-feed?table=" + percentEncoded(table) + "&after=" + std::to_string(after) +
+                   "&wait-ms=" + std::to_string(toMilliseconds(wait)),
          .body = {},
          .headers = {}},
         timeout, [this, sentAt = bootNow(), done = std::move(done)](const HttpResult &result) {
--- a/gentianplank/platform/http_row_store.h
+++ b/gentianplank/platform/http_row_store.h
@@ -11,7 +11,9 @@
 class HttpRowStore : public RowStore
 {
 public:
-    explicit HttpRowStore(HttpCaller &caller) : m_caller(caller) {}
+    explicit HttpRowStore(HttpCaller &caller)
+        : m_caller(caller)
+    {}
 
     void read(RowRange range, Duration timeout,
               std::function<void(RowResult<RowSet>)> done) override;
--- a/gentianplank/platform/line_codec.cc
+++ b/gentianplank/platform/line_codec.cc
@@ -56,8 +56,8 @@
 {
     const size_t dot = text.find('.');
     LogPosition position;
-    if (dot == std::string_view::npos || !readNumber(text.substr(0, dot), position.term)
-        || !readNumber(text.substr(dot + 1), position.position)) {
+    if (dot == std::string_view::npos || !readNumber(text.substr(0, dot), position.term) ||
+        !readNumber(text.substr(dot + 1), position.position)) {
         return std::nullopt;
     }
     return position;
@@ -93,8 +93,8 @@
         const std::string_view use = takeWord(rest);
         statement.value = rest;
         statement.preparesWrite = use == "WRITE";
-        const bool isRight = !statement.name.empty() && (use == "WRITE" || use == "READ")
-            && !statement.value.empty();
+        const bool isRight = !statement.name.empty() && (use == "WRITE" || use == "READ") &&
+                             !statement.value.empty();
         statement.kind = isRight ? StatementKind::Prepare : StatementKind::Malformed;
     } else if (word == "EXECUTE") {
         statement.name = takeWord(rest);
@@ -195,9 +195,9 @@
         const std::string_view state = takeWord(rest);
         if (state == "I" || state == "T" || state == "E") {
             result.kind = MemberLine::Kind::Ready;
-            result.state = state == "I" ? TransactionState::Idle
-                : state == "T"          ? TransactionState::Open
-                                        : TransactionState::Failed;
+            result.state = state == "I"   ? TransactionState::Idle
+                           : state == "T" ? TransactionState::Open
+                                          : TransactionState::Failed;
             result.position = readPosition(rest);
         }
     }
@@ -215,8 +215,8 @@
     const bool hasLag = readNumber(takeWord(rest), status.lagMs);
     const bool hasBusy = readNumber(takeWord(rest), status.busy);
     const bool hasConnections = readNumber(takeWord(rest), status.connections);
-    if ((role != "primary" && role != "replica") || !hasTerm || !position || !hasLag || !hasBusy
-        || !hasConnections) {
+    if ((role != "primary" && role != "replica") || !hasTerm || !position || !hasLag || !hasBusy ||
+        !hasConnections) {
         return std::nullopt;
     }
     status.isPrimary = role == "primary";
--- a/gentianplank/platform/line_codec.h
+++ b/gentianplank/platform/line_codec.h
@@ -19,7 +19,9 @@
 class LineBuffer
 {
 public:
-    explicit LineBuffer(size_t longestLine) : m_longestLine(longestLine) {}
+    explicit LineBuffer(size_t longestLine)
+        : m_longestLine(longestLine)
+    {}
 
     void append(std::string_view bytes);
 
--- a/gentianplank/platform/process_settings.cc
+++ b/gentianplank/platform/process_settings.cc
@@ -15,9 +15,10 @@
 class FieldReader
 {
 public:
-    FieldReader(const toml::table &root, std::string file) : m_root(root), m_file(std::move(file))
-    {
-    }
+    FieldReader(const toml::table &root, std::string file)
+        : m_root(root)
+        , m_file(std::move(file))
+    {}
 
     std::string text(const std::string &section, const std::string &key)
     {
@@ -118,16 +119,16 @@
 
 } // namespace
 
-tl::expected<EntryVmSettings, std::vector<Finding>>
-decodeProcessSettings(std::string_view text, const std::string &file)
+tl::expected<EntryVmSettings, std::vector<Finding>> decodeProcessSettings(std::string_view text,
+                                                                          const std::string &file)
 {
     toml::table root;
     try {
         root = toml::parse(text);
     } catch (const toml::parse_error &error) {
-        return tl::make_unexpected(std::vector<Finding>{
-            {file, static_cast<int>(error.source().begin.line), "", "",
-             std::string(error.description())}});
+        return tl::make_unexpected(
+            std::vector<Finding>{{file, static_cast<int>(error.source().begin.line), "", "",
+                                  std::string(error.description())}});
     }
     FieldReader reader(root, file);
     EntryVmSettings settings;
--- a/gentianplank/session/text_session.cc
+++ b/gentianplank/session/text_session.cc
@@ -72,8 +72,7 @@
     if (it == session.prepared.end()) {
         return error(ErrorCode::NoStatement, "nothing is prepared as " + statement.name);
     }
-    SessionStep step =
-        it->second.writes ? write(session) : forward(session, ForwardKind::Read);
+    SessionStep step = it->second.writes ? write(session) : forward(session, ForwardKind::Read);
     step.prepared = it->second;
     return step;
 }
@@ -134,13 +133,13 @@
 
 SessionStep takeStatement(TextSession &session, const TextStatement &statement)
 {
-    if (session.transaction == SessionTransaction::Failed
-        && statement.kind != StatementKind::Malformed) {
+    if (session.transaction == SessionTransaction::Failed &&
+        statement.kind != StatementKind::Malformed) {
         return endFailed(session, statement.kind);
     }
     SessionStep step = stepFor(session, statement);
-    if (step.action == SessionAction::AnswerError
-        && session.transaction != SessionTransaction::None) {
+    if (step.action == SessionAction::AnswerError &&
+        session.transaction != SessionTransaction::None) {
         step.rollsBack = session.transaction == SessionTransaction::Running;
         session.transaction = SessionTransaction::Failed;
     }
--- a/gentianplank/standin/http_table_store.cc
+++ b/gentianplank/standin/http_table_store.cc
@@ -195,7 +195,8 @@
     return answer(200, body, changes.empty() ? FeedWait : Duration::zero());
 }
 
-HttpTableStore::HttpTableStore() : m_state(std::make_shared<State>())
+HttpTableStore::HttpTableStore()
+    : m_state(std::make_shared<State>())
 {
     m_state->listener = std::make_unique<HttpListener>(
         m_state->ioContext, "127.0.0.1:0",
--- a/gentianplank/standin/http_table_store.h
+++ b/gentianplank/standin/http_table_store.h
@@ -42,8 +42,8 @@
     void dropHistory();
 
     // What a promotion does; returns the HTTP status to answer.
-    void onPromotion(std::function<unsigned(const std::string &group, const std::string &member)>
-                         handler);
+    void onPromotion(
+        std::function<unsigned(const std::string &group, const std::string &member)> handler);
 
     // Calls of all kinds so far.
     uint64_t calls() const;
--- a/gentianplank/store/channel_test.cc
+++ b/gentianplank/store/channel_test.cc
@@ -1,7 +1,7 @@
 #include "gentianplank/store/channel.h"
 
-#include "gentianplank/store/testing/test_authority.h"
 #include "gentianplank/proto/platform.grpc.pb.h"
+#include "gentianplank/store/testing/test_authority.h"
 
 #include <boost/test/unit_test.hpp>
 #include <grpcpp/create_channel.h>
--- a/gentianplank/store/store_clock.cc
+++ b/gentianplank/store/store_clock.cc
@@ -15,16 +15,15 @@
 
 } // namespace
 
-void noteExchange(StoreClock &clock, BootInstant sentAt, Duration storeTime,
-                  BootInstant receivedAt)
+void noteExchange(StoreClock &clock, BootInstant sentAt, Duration storeTime, BootInstant receivedAt)
 {
     auto &samples = clock.samples;
     const Duration offset = sentAt.time_since_epoch() - storeTime;
     // No exchange can have been answered after it was received; if one says so, the store has
     // another clock than before.
     std::erase_if(samples, [&](const StoreClock::Sample &it) {
-        return it.at < receivedAt - SampleMemory
-            || it.leastOffset > receivedAt.time_since_epoch() - storeTime + Margin;
+        return it.at < receivedAt - SampleMemory ||
+               it.leastOffset > receivedAt.time_since_epoch() - storeTime + Margin;
     });
     if (!samples.empty() && receivedAt - samples.back().at < Resolution) {
         samples.back().leastOffset = std::max(samples.back().leastOffset, offset);
--- a/gentianplank/store/table_follower.cc
+++ b/gentianplank/store/table_follower.cc
@@ -20,10 +20,13 @@
 {
     State(RowStore &rowStore, Scheduler runLater, std::string name, FollowSettings figures,
           FollowListener callbacks)
-        : store(rowStore), scheduler(std::move(runLater)), table(std::move(name)),
-          settings(figures), listener(std::move(callbacks)), pause(figures.shortestPause)
-    {
-    }
+        : store(rowStore)
+        , scheduler(std::move(runLater))
+        , table(std::move(name))
+        , settings(figures)
+        , listener(std::move(callbacks))
+        , pause(figures.shortestPause)
+    {}
 
     // Reads the whole table, page by page. The rows of the first page were read first, so changes
     // after its version are asked for next; applying one twice changes nothing.
@@ -115,9 +118,10 @@
         const bool hasChanges = !result->rows.empty();
         apply(std::move(result->rows));
         prove(at);
-        if (hasChanges && isStorm()) {
+        const Duration wait = hasChanges ? pauseAfterChanges() : Duration::zero();
+        if (wait > Duration::zero()) {
             auto weak = weak_from_this();
-            scheduler(settings.pace, [weak] {
+            scheduler(wait, [weak] {
                 if (auto self = weak.lock()) {
                     self->follow();
                 }
@@ -127,15 +131,19 @@
         follow();
     }
 
-    // Whether more than a few answers with changes came within the last second.
-    bool isStorm()
+    // How long to let changes gather: they came right after the start, or more than a few within
+    // the last second.
+    Duration pauseAfterChanges()
     {
         const BootInstant now = bootNow();
+        if (now - startedAt < settings.startTime) {
+            return settings.startPace;
+        }
         changedAt.push_back(now);
         while (now - changedAt.front() > std::chrono::seconds(1)) {
             changedAt.pop_front();
         }
-        return changedAt.size() > CalmChanges;
+        return changedAt.size() > CalmChanges ? settings.pace : Duration::zero();
     }
 
     void apply(std::vector<StoredRow> changes)
@@ -209,6 +217,7 @@
     uint64_t version = 0;
     BootInstant provenAt{};
     bool isReachable = false;
+    BootInstant startedAt{};
     std::deque<BootInstant> changedAt;
     // Every change after `historyAfter`, in order.
     std::deque<StoredRow> history;
@@ -219,13 +228,13 @@
                              FollowSettings settings, FollowListener listener)
     : m_state(std::make_shared<State>(store, std::move(scheduler), std::move(table), settings,
                                       std::move(listener)))
-{
-}
+{}
 
 TableFollower::~TableFollower() = default;
 
 void TableFollower::start()
 {
+    m_state->startedAt = bootNow();
     m_state->readAll();
 }
 
--- a/gentianplank/store/table_follower.h
+++ b/gentianplank/store/table_follower.h
@@ -22,8 +22,13 @@
     Duration wait = std::chrono::seconds(1);
     // How much longer than `wait` an answer may take.
     Duration patience = std::chrono::milliseconds(700);
-    // Changes that follow each other more closely than this, after the first few, are read together.
+    // Changes that follow each other more closely than this, after the first few, are read
+    // together.
     Duration pace = std::chrono::milliseconds(250);
+    // A process that has just started reads changes together this often, for this long: a whole
+    // fleet that starts changes its tables many times a second.
+    Duration startPace = std::chrono::milliseconds(500);
+    Duration startTime = std::chrono::seconds(1);
     Duration shortestPause = std::chrono::milliseconds(50);
     Duration longestPause = std::chrono::milliseconds(400);
 };
--- a/gentianplank/target/group_record.cc
+++ b/gentianplank/target/group_record.cc
@@ -24,8 +24,7 @@
         GroupRecord record;
         record.group = json.at("group").get<std::string>();
         record.epoch = json.at("epoch").get<uint64_t>();
-        record.phase =
-            json.at("changing").get<bool>() ? GroupPhase::Changing : GroupPhase::Serving;
+        record.phase = json.at("changing").get<bool>() ? GroupPhase::Changing : GroupPhase::Serving;
         record.primary = json.at("primary").get<std::string>();
         record.primaryBornAt = json.at("primary_born_at").get<int64_t>();
         record.term = json.at("term").get<uint64_t>();
--- a/gentianplank/target/member_connection.h
+++ b/gentianplank/target/member_connection.h
@@ -5,8 +5,8 @@
 #pragma once
 
 #include "gentianplank/base/time.h"
-#include "gentianplank/store/channel.h"
 #include "gentianplank/proto/target.pb.h"
+#include "gentianplank/store/channel.h"
 
 #include <tl/expected.hpp>
 
--- a/gentianplank/vm/member_log.h
+++ b/gentianplank/vm/member_log.h
@@ -6,8 +6,8 @@
 //     auto outcome = log.write(*list, withVm(*list, self), timeout);
 #pragma once
 
-#include "gentianplank/store/table_store.h"
 #include "gentianplank/proto/vm.pb.h"
+#include "gentianplank/store/table_store.h"
 #include "gentianplank/vm/vm_directory.h"
 
 #include <span>
