Erase the rows of VMs that are gone for good

The holder of the duty asks a VM at a time for signs of life and erases the row of one that gave none for 8 s; a VM that finds its row gone registers again.

--- a/gentianplank/node/control.cc
+++ b/gentianplank/node/control.cc
@@ -9,6 +9,7 @@
 #include "gentianplank/platform/http_row_store.h"
 #include "gentianplank/platform/names.h"
 #include "gentianplank/store/table_follower.h"
+#include "gentianplank/vm/absence.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
@@ -51,6 +52,10 @@
 constexpr Duration DutyProofAge = std::chrono::milliseconds(250);
 constexpr Duration PromotionTimeout = std::chrono::milliseconds(600);
 constexpr Duration DutyHandOver = std::chrono::milliseconds(1000);
+// Numbers of probes that ask for no member: whether the holder of the duty can do it, and whether a
+// VM runs.
+constexpr uint64_t DutyProbe = 0;
+constexpr uint64_t LifeProbe = 1;
 // Peers asked whether they reach a member that one VM can't reach, and how long they have.
 constexpr size_t AskedPeers = 6;
 constexpr Duration ConfirmationTime = std::chrono::milliseconds(450);
@@ -125,6 +130,10 @@
     void promote(const std::string &group, const std::string &member,
                  std::function<void(platform::PromotionAnswer, std::string)> done);
 
+    // Erases the rows of VMs that are gone for good, so that their parts of the rates are free.
+    void superviseVms();
+    void eraseVm(const std::string &name);
+
     // The groups' primaries.
     void superviseGroups();
     void superviseGroup(const std::string &name, GroupState &group);
@@ -184,7 +193,8 @@
     bool mayPromoteAtOnce = false;
     BootInstant holderHeardAt{};
     BootInstant holderAskedAt{};
-    uint64_t nextProbe = 1;
+    uint64_t nextProbe = LifeProbe + 1;
+    VmAbsence absence;
     std::map<uint64_t, std::shared_ptr<Confirmation>> confirmations;
 };
 
@@ -388,6 +398,8 @@
                     wasKnownBefore || (name == settings.name && record->incarnation != incarnation);
             } else {
                 vms.erase(name);
+                // Others took this VM to be gone; it fills no part of a rate until it is back.
+                isRegistered = isRegistered && name != settings.name;
             }
             if (relayToFollow()) {
                 relay.dismissAll();
@@ -515,6 +527,7 @@
         considerDuty();
         if (holdsDuty()) {
             superviseGroups();
+            superviseVms();
         }
     }
     tickTimer.expires_after(TickInterval);
@@ -565,7 +578,7 @@
         }
         holderAskedAt = now;
         peer::v1::Frame frame;
-        frame.mutable_probe()->set_number(0);
+        frame.mutable_probe()->set_number(DutyProbe);
         traffic->sendToPeer(duty.holder, frame);
     }
     // Those further down the line wait longer, in case the ones before them are gone too.
@@ -625,6 +638,44 @@
         });
 }
 
+void Control::State::superviseVms()
+{
+    std::vector<std::string> names;
+    for (const auto &[name, record] : vms) {
+        if (name != settings.name) {
+            names.push_back(name);
+        }
+    }
+    const BootInstant now = bootNow();
+    for (const std::string &name : vmsToAsk(absence, names, now)) {
+        peer::v1::Frame frame;
+        frame.mutable_probe()->set_number(LifeProbe);
+        traffic->sendToPeer(name, frame);
+    }
+    for (const std::string &name : vmsGone(absence, now)) {
+        eraseVm(name);
+    }
+}
+
+void Control::State::eraseVm(const std::string &name)
+{
+    const std::string key = std::string(VmKeyPrefix) + name;
+    const auto row = fleetFollower->rows().find(key);
+    if (row == fleetFollower->rows().end()) {
+        return;
+    }
+    logEvent("vm.gone", {{"vm", name}, {"row_version", row->second.version}});
+    RowTransaction transaction;
+    transaction.conditions.push_back({FleetTable, key, row->second.version});
+    transaction.erasures.push_back({FleetTable, key, row->second.version});
+    // Without an answer, the feed shows whether the row is there, and the VM is asked again.
+    store.change(std::move(transaction), StoreTimeout, [name](const RowResult<uint64_t> &result) {
+        if (!result) {
+            logEvent("vm.gone_failed", {{"vm", name}, {"why", result.error().what}});
+        }
+    });
+}
+
 void Control::State::superviseGroups()
 {
     if (!routing) {
@@ -868,7 +919,8 @@
         if (member == members.end()) {
             // A holder of the duty that lost the store can't do it; silence lets others take it.
             const bool hasStore =
-                fleetFollower->isReachable() && bootNow() - proofs.fleet < DutyStoreSilence;
+                frame.probe().number() == LifeProbe ||
+                (fleetFollower->isReachable() && bootNow() - proofs.fleet < DutyStoreSilence);
             if (!frame.probe().member().empty() || hasStore) {
                 reply(answer);
             }
@@ -894,9 +946,10 @@
     if (frame.has_feed_answer()) {
         followed.takeAnswer(vm, frame.feed_answer());
     } else if (frame.has_probe_answer()) {
-        if (vm == duty.holder) {
+        if (vm == duty.holder && frame.probe_answer().number() == DutyProbe) {
             holderHeardAt = bootNow();
         }
+        noteAlive(absence, vm);
         const auto it = confirmations.find(frame.probe_answer().number());
         if (it != confirmations.end()) {
             const auto confirmation = it->second;
--- a/gentianplank/node/primary_change_test.cc
+++ b/gentianplank/node/primary_change_test.cc
@@ -26,7 +26,7 @@
             tasks.push_back(std::move(task));
         };
         environment.probe = [this](const MemberEntry &member,
-                                   std::function<void(MemberProbe)> done) {
+                                   const std::function<void(MemberProbe)> &done) {
             MemberProbe probe;
             probe.status = statuses[member.id];
             probe.isReachable = probe.status.has_value();
@@ -37,7 +37,7 @@
         };
         environment.notify = [this](const std::string &, uint64_t epoch, bool) { noticed = epoch; };
         environment.store = [this](const GroupRecord &record, uint64_t version,
-                                   std::function<void(RowResult<uint64_t>)> done) {
+                                   const std::function<void(RowResult<uint64_t>)> &done) {
             stored.push_back(record);
             BOOST_TEST(version == rowVersion);
             if (storeFails) {
@@ -48,7 +48,7 @@
         };
         environment.promote =
             [this](const std::string &, const std::string &member,
-                   std::function<void(platform::PromotionAnswer, std::string)> done) {
+                   const std::function<void(platform::PromotionAnswer, std::string)> &done) {
                 promoted.push_back(member);
                 if (answer == platform::PromotionAnswer::Accepted || hasEffect) {
                     says(member, true, 4, 100);
