--- a/gentianplank/standin/text_member.cc
+++ b/gentianplank/standin/text_member.cc
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include <array>
+#include <future>
 #include <mutex>
 #include <set>
 #include <thread>
@@ -390,8 +391,14 @@
     m_state->thread.join();
     for (auto &member : m_state->members) {
         member.acceptor = nullptr;
-        member.connections.clear();
+        for (const auto &connection : member.connections) {
+            error_code ec;
+            connection->socket.close(ec);
+        }
     }
+    // What waits on them holds this state; it ends now that nothing more can come.
+    m_state->ioContext.restart();
+    m_state->ioContext.poll();
 }
 
 MemberEntry TextGroup::entryOf(size_t member) const
@@ -426,13 +433,20 @@
 
 void TextGroup::crash(size_t member)
 {
-    const std::lock_guard lock(m_state->mutex);
-    auto &it = m_state->members[member];
-    it.acceptor = nullptr;
-    for (const auto &connection : it.connections) {
-        asio::post(m_state->ioContext, [connection] { resetSocket(connection->socket); });
-    }
-    it.connections.clear();
+    std::promise<void> crashed;
+    asio::post(m_state->ioContext, [this, member, &crashed] {
+        {
+            const std::lock_guard lock(m_state->mutex);
+            auto &it = m_state->members[member];
+            it.acceptor = nullptr;
+            for (const auto &connection : it.connections) {
+                resetSocket(connection->socket);
+            }
+            it.connections.clear();
+        }
+        crashed.set_value();
+    });
+    crashed.get_future().wait();
 }
 
 void TextGroup::silence(size_t member)
