--- a/gentianplank/node/control_store.cc
+++ b/gentianplank/node/control_store.cc
@@ -297,7 +297,6 @@
     for (const auto &[name, record] : vms) {
         next->vms.push_back(record);
     }
-    next->dutyHolder = duty.holder;
     next->wasKnownBefore = wasKnownBefore;
     view = next;
     traffic->publish(view);
--- a/gentianplank/node/fleet_view.h
+++ b/gentianplank/node/fleet_view.h
@@ -30,7 +30,6 @@
     std::map<std::string, MemberInView, std::less<>> members;
     std::map<std::string, GroupRecord, std::less<>> groups;
     std::vector<VmRecord> vms;
-    std::string dutyHolder;
     // This VM was known before its process started, so its part of the rates is free to use.
     bool wasKnownBefore = false;
 };
--- a/gentianplank/node/member_dispatcher.cc
+++ b/gentianplank/node/member_dispatcher.cc
@@ -312,11 +312,6 @@
     m_state->freed();
 }
 
-Duration MemberDispatcher::expectedWait() const
-{
-    return gentianplank::expectedWait(m_state->queue, "", 1);
-}
-
 bool MemberDispatcher::needsPositions() const
 {
     return steadyNow() - m_state->positionsNeededAt < PositionsWanted;
--- a/gentianplank/node/member_dispatcher.h
+++ b/gentianplank/node/member_dispatcher.h
@@ -83,8 +83,6 @@
     // Ends what has waited or rested too long. Call it about every 50 ms.
     void tick();
 
-    // What a new statement would wait.
-    Duration expectedWait() const;
     // Whether statements wait, run, or hold a transaction open.
     bool isIdle() const;
 
--- a/gentianplank/node/primary_change.cc
+++ b/gentianplank/node/primary_change.cc
@@ -49,7 +49,6 @@
     uint64_t version = 0;
     std::string ownName;
     std::function<void(bool)> onEnd;
-    std::string reason;
     BootInstant begunAt{};
     BootInstant changingAt{};
     BootInstant comparingSince{};
@@ -353,7 +352,6 @@
 {
     m_state->self = weak_from_this();
     m_state->begunAt = bootNow();
-    m_state->reason = reason;
     logEvent("primary.change_begin", {{"group", m_state->record.group},
                                       {"primary", m_state->record.primary},
                                       {"epoch", m_state->record.epoch},
