Don't wait again for a primary that no VM reaches; one TCP listener

Cause: after VMs of all zones had failed to reach a dark primary, the comparison of members asked it once more and waited its connect limit (350 ms) within every such outage. Ruled out: the other members' answers (about 40 ms) and the releases (about 50 ms) in the primary.* lines. A primary that is gone or started anew is still waited for. Test: primary_change_test, aPrimaryThatNoVmReachesIsNotWaitedFor. The listening code of readiness, peers and callers is http/tcp_listener now; after a failed accept it waits 50 ms, where the old copies tried again at once.

--- a/gentianplank/http/http_listener.cc
+++ b/gentianplank/http/http_listener.cc
@@ -1,7 +1,6 @@
 #include "gentianplank/http/http_listener.h"
 
 #include "gentianplank/base/time.h"
-#include "gentianplank/http/endpoint.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
@@ -25,21 +24,15 @@
 
 } // namespace
 
-struct HttpListener::State : std::enable_shared_from_this<HttpListener::State>
+struct HttpListener::State
 {
-    State(asio::io_context &context, std::string text, Handler answer)
+    State(asio::io_context &context, Handler answer)
         : ioContext(context)
-        , address(std::move(text))
         , handler(std::move(answer))
-        , acceptor(context)
     {}
 
-    void accept();
-
     asio::io_context &ioContext;
-    std::string address;
     Handler handler;
-    asio::ip::tcp::acceptor acceptor;
     int connections = 0;
 };
 
@@ -114,54 +107,26 @@
 
 } // namespace
 
-void HttpListener::State::accept()
-{
-    acceptor.async_accept(
-        [self = shared_from_this()](beast::error_code ec, asio::ip::tcp::socket socket) {
-            if (ec == asio::error::operation_aborted) {
-                return;
-            }
-            if (!ec && self->connections < MostConnections) {
-                std::make_shared<ServedConnection<State>>(self, std::move(socket))->read();
-            }
-            self->accept();
-        });
-}
-
 HttpListener::HttpListener(asio::io_context &ioContext, std::string address, Handler handler)
-    : m_state(std::make_shared<State>(ioContext, std::move(address), std::move(handler)))
+    : m_state(std::make_shared<State>(ioContext, std::move(handler)))
+    , m_address(std::move(address))
+    , m_listener(ioContext, [state = m_state](asio::ip::tcp::socket socket) {
+        if (state->connections < MostConnections) {
+            std::make_shared<ServedConnection<State>>(state, std::move(socket))->read();
+        }
+    })
 {}
 
-HttpListener::~HttpListener()
-{
-    beast::error_code ec;
-    m_state->acceptor.close(ec);
-}
+HttpListener::~HttpListener() = default;
 
 std::optional<std::string> HttpListener::start()
 {
-    const auto endpoint = parseEndpoint(m_state->address);
-    if (!endpoint) {
-        return "'" + m_state->address + "' is not IP:PORT";
-    }
-    beast::error_code ec;
-    m_state->acceptor.open(endpoint->protocol(), ec);
-    m_state->acceptor.set_option(asio::socket_base::reuse_address(true), ec);
-    m_state->acceptor.bind(*endpoint, ec);
-    if (!ec) {
-        m_state->acceptor.listen(asio::socket_base::max_listen_connections, ec);
-    }
-    if (ec) {
-        return "cannot listen at " + m_state->address + ": " + ec.message();
-    }
-    m_state->accept();
-    return std::nullopt;
+    return m_listener.start(m_address);
 }
 
 uint16_t HttpListener::port() const
 {
-    beast::error_code ec;
-    return m_state->acceptor.local_endpoint(ec).port();
+    return m_listener.port();
 }
 
 } // namespace gentianplank
--- a/gentianplank/http/http_listener.h
+++ b/gentianplank/http/http_listener.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "gentianplank/base/time.h"
+#include "gentianplank/http/tcp_listener.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -53,6 +54,8 @@
 private:
     struct State;
     std::shared_ptr<State> m_state;
+    std::string m_address;
+    TcpListener m_listener;
 };
 
 } // namespace gentianplank
--- /dev/null
+++ b/gentianplank/http/tcp_listener.cc
@@ -0,0 +1,98 @@
+#include "gentianplank/http/tcp_listener.h"
+
+#include "gentianplank/base/event_log.h"
+#include "gentianplank/http/endpoint.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace gentianplank {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+// After an error, such as too few descriptors, the next try waits: it would fail again at once.
+constexpr Duration ErrorPause = std::chrono::milliseconds(50);
+
+} // namespace
+
+struct TcpListener::State : std::enable_shared_from_this<TcpListener::State>
+{
+    State(asio::io_context &ioContext, Handler onSocket)
+        : acceptor(ioContext)
+        , pause(ioContext)
+        , handler(std::move(onSocket))
+    {}
+
+    void accept()
+    {
+        acceptor.async_accept(
+            [self = shared_from_this()](error_code ec, asio::ip::tcp::socket socket) {
+                if (self->isClosed) {
+                    return;
+                }
+                if (!ec) {
+                    self->handler(std::move(socket));
+                    self->accept();
+                    return;
+                }
+                logEvent("accept.failed", {{"address", self->address}, {"why", ec.message()}});
+                self->pause.expires_after(ErrorPause);
+                self->pause.async_wait([self](error_code) {
+                    if (!self->isClosed) {
+                        self->accept();
+                    }
+                });
+            });
+    }
+
+    asio::ip::tcp::acceptor acceptor;
+    asio::steady_timer pause;
+    Handler handler;
+    std::string address;
+    bool isClosed = false;
+};
+
+TcpListener::TcpListener(asio::io_context &ioContext, Handler handler)
+    : m_state(std::make_shared<State>(ioContext, std::move(handler)))
+{}
+
+TcpListener::~TcpListener()
+{
+    m_state->isClosed = true;
+    error_code ec;
+    m_state->acceptor.close(ec);
+    m_state->pause.cancel();
+}
+
+std::optional<std::string> TcpListener::start(const std::string &address)
+{
+    const auto endpoint = parseEndpoint(address);
+    if (!endpoint) {
+        return "cannot listen at '" + address + "': it is not IP:PORT";
+    }
+    error_code ec;
+    auto &acceptor = m_state->acceptor;
+    acceptor.open(endpoint->protocol(), ec);
+    acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+    acceptor.bind(*endpoint, ec);
+    if (!ec) {
+        acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    }
+    if (ec) {
+        return "cannot listen at " + address + ": " + ec.message();
+    }
+    m_state->address = address;
+    m_state->accept();
+    return std::nullopt;
+}
+
+uint16_t TcpListener::port() const
+{
+    error_code ec;
+    const auto endpoint = m_state->acceptor.local_endpoint(ec);
+    return ec ? 0 : endpoint.port();
+}
+
+} // namespace gentianplank
--- a/gentianplank/node/control_groups.cc
+++ b/gentianplank/node/control_groups.cc
@@ -47,16 +47,17 @@
         return;
     }
     if (group.record.phase == GroupPhase::Changing) {
-        beginChange(name, group.record.isOrderly, "a change was left unfinished");
+        beginChange(name, group.record.isOrderly ? ChangeCause::Leaving : ChangeCause::Other,
+                    "a change was left unfinished");
         return;
     }
     const auto member = members.find(group.record.primary);
     if (member == members.end()) {
-        beginChange(name, false, "the primary is gone");
+        beginChange(name, ChangeCause::Other, "the primary is gone");
         return;
     }
     if (member->second.entry.bornAt != group.record.primaryBornAt) {
-        beginChange(name, false, "the primary started anew");
+        beginChange(name, ChangeCause::Other, "the primary started anew");
         return;
     }
     const bool hasOther = std::any_of(members.begin(), members.end(), [&](const auto &it) {
@@ -64,7 +65,7 @@
                !it.second.entry.isLeaving;
     });
     if (member->second.entry.isLeaving && hasOther) {
-        beginChange(name, true, "the primary leaves");
+        beginChange(name, ChangeCause::Leaving, "the primary leaves");
     }
 }
 
@@ -104,7 +105,8 @@
     store.change(std::move(transaction), StoreTimeout, std::move(done));
 }
 
-void Control::State::beginChange(const std::string &name, bool isOrderly, const std::string &reason)
+void Control::State::beginChange(const std::string &name, ChangeCause cause,
+                                 const std::string &reason)
 {
     GroupState &group = groups[name];
     group.change = std::make_shared<PrimaryChange>(
@@ -115,7 +117,7 @@
                 groups[name].notBefore = bootNow() + ChangePause;
             });
         });
-    group.change->start(isOrderly, reason);
+    group.change->start(cause, reason);
 }
 
 PrimaryChangeEnvironment Control::State::changeEnvironment()
@@ -248,7 +250,7 @@
     const bool isStill = group.record.primary == confirmation->member &&
                          group.record.phase == GroupPhase::Serving && !group.change;
     if (!isReachable && isStill && holdsDuty()) {
-        beginChange(confirmation->group, false, "no VM reaches the primary");
+        beginChange(confirmation->group, ChangeCause::Unreachable, "no VM reaches the primary");
     }
 }
 
--- a/gentianplank/node/control_state.h
+++ b/gentianplank/node/control_state.h
@@ -102,7 +102,7 @@
     void superviseGroups();
     void superviseGroup(const std::string &name, GroupState &group);
     void createRecord(const std::string &name);
-    void beginChange(const std::string &name, bool isOrderly, const std::string &reason);
+    void beginChange(const std::string &name, ChangeCause cause, const std::string &reason);
     PrimaryChangeEnvironment changeEnvironment();
     void storeRecord(const GroupRecord &record, uint64_t version,
                      std::function<void(RowResult<uint64_t>)> done);
--- a/gentianplank/node/peer_mesh.cc
+++ b/gentianplank/node/peer_mesh.cc
@@ -2,6 +2,7 @@
 
 #include "gentianplank/base/event_log.h"
 #include "gentianplank/http/endpoint.h"
+#include "gentianplank/http/tcp_listener.h"
 
 #include <algorithm>
 #include <map>
@@ -64,7 +65,7 @@
         , ownName(std::move(name))
         , incarnation(number)
         , handler(std::move(callbacks))
-        , acceptor(context)
+        , listener(context, [this](asio::ip::tcp::socket socket) { accepted(std::move(socket)); })
     {}
 
     std::shared_ptr<PeerLink> linkTo(Peer &peer);
@@ -73,7 +74,6 @@
                     const std::string &what);
     void takeFrame(const std::string &vm, const peer::v1::Frame &frame);
     void takePong(const std::string &vm, const peer::v1::Pong &pong);
-    void accept();
     void accepted(asio::ip::tcp::socket socket);
     void dropPeer(Peer &peer, const std::string &reason);
     void ping(Peer &peer, Instant now, bool needsProof) const;
@@ -82,7 +82,7 @@
     std::string ownName;
     uint64_t incarnation;
     PeerMeshHandler handler;
-    asio::ip::tcp::acceptor acceptor;
+    TcpListener listener;
     std::map<std::string, Peer, std::less<>> peers;
     std::map<uint64_t, PendingCall> calls;
     uint64_t nextCall = 1;
@@ -215,20 +215,6 @@
     }
 }
 
-void PeerMesh::State::accept()
-{
-    acceptor.async_accept([weak = weak_from_this()](error_code ec, asio::ip::tcp::socket socket) {
-        auto self = weak.lock();
-        if (!self || ec == asio::error::operation_aborted) {
-            return;
-        }
-        if (!ec) {
-            self->accepted(std::move(socket));
-        }
-        self->accept();
-    });
-}
-
 void PeerMesh::State::accepted(asio::ip::tcp::socket socket)
 {
     PeerLinkHandler callbacks;
@@ -279,23 +265,7 @@
 
 std::optional<std::string> PeerMesh::listen(const std::string &address)
 {
-    const auto endpoint = parseEndpoint(address);
-    if (!endpoint) {
-        return "'" + address + "' is not IP:PORT";
-    }
-    error_code ec;
-    auto &acceptor = m_state->acceptor;
-    acceptor.open(endpoint->protocol(), ec);
-    acceptor.set_option(asio::socket_base::reuse_address(true), ec);
-    acceptor.bind(*endpoint, ec);
-    if (!ec) {
-        acceptor.listen(asio::socket_base::max_listen_connections, ec);
-    }
-    if (ec) {
-        return "cannot listen for peers at " + address + ": " + ec.message();
-    }
-    m_state->accept();
-    return std::nullopt;
+    return m_state->listener.start(address);
 }
 
 void PeerMesh::setPeers(std::span<const VmRecord> vms)
--- a/gentianplank/node/primary_change.cc
+++ b/gentianplank/node/primary_change.cc
@@ -58,7 +58,9 @@
     std::map<std::string, uint64_t> waitedFor;
     std::set<std::string> releasedBy;
     // Answers of one round of probes.
+    uint64_t round = 0;
     size_t probesOutstanding = 0;
+    bool isOldUnreachable = false;
     std::vector<Candidate> candidates;
     std::optional<platform::MemberStatus> oldPrimary;
     std::set<std::string> refused;
@@ -151,15 +153,22 @@
             asked.push_back(member.entry);
         }
     }
-    probesOutstanding = asked.size();
-    if (asked.empty()) {
+    const uint64_t ownRound = ++round;
+    const auto isAwaited = [this, skipsOld = isOldUnreachable](const MemberEntry &it) {
+        return !skipsOld || it.id != record.primary;
+    };
+    probesOutstanding = static_cast<size_t>(std::count_if(asked.begin(), asked.end(), isAwaited));
+    // Should nobody else be able to lead, its answer matters again.
+    isOldUnreachable = false;
+    if (probesOutstanding == 0) {
         later(RetryPause, [](State &state) { state.compare(); });
         return;
     }
     for (const MemberEntry &entry : asked) {
-        environment.probe(entry, [weak = self, entry](const MemberProbe &probe) {
+        environment.probe(entry, [weak = self, entry, ownRound,
+                                  awaited = isAwaited(entry)](const MemberProbe &probe) {
             auto owner = weak.lock();
-            if (!owner || owner->m_state->hasEnded) {
+            if (!owner || owner->m_state->hasEnded || owner->m_state->round != ownRound) {
                 return;
             }
             State &state = *owner->m_state;
@@ -169,7 +178,8 @@
                 }
                 state.candidates.push_back({entry, *probe.status});
             }
-            if (--state.probesOutstanding == 0) {
+            if (awaited && --state.probesOutstanding == 0) {
+                ++state.round;
                 state.compared();
             }
         });
@@ -348,8 +358,10 @@
 
 PrimaryChange::~PrimaryChange() = default;
 
-void PrimaryChange::start(bool isOrderly, const std::string &reason)
+void PrimaryChange::start(ChangeCause cause, const std::string &reason)
 {
+    const bool isOrderly = cause == ChangeCause::Leaving;
+    m_state->isOldUnreachable = cause == ChangeCause::Unreachable;
     m_state->self = weak_from_this();
     m_state->begunAt = bootNow();
     logEvent("primary.change_begin", {{"group", m_state->record.group},
--- a/gentianplank/node/primary_change.h
+++ b/gentianplank/node/primary_change.h
@@ -37,6 +37,16 @@
         promote;
 };
 
+// Why a primary is replaced.
+enum class ChangeCause {
+    // It still serves, and nothing that it holds may be lost.
+    Leaving,
+    // VMs of all zones just failed to reach it; nobody waits for its answer again.
+    Unreachable,
+    // It is gone or started anew, or a change was left unfinished.
+    Other,
+};
+
 // Not thread-safe. Lives until `onEnd` was called.
 class PrimaryChange : public std::enable_shared_from_this<PrimaryChange>
 {
@@ -47,8 +57,7 @@
                   std::string ownName, std::function<void(bool succeeded)> onEnd);
     ~PrimaryChange();
 
-    // `isOrderly`: the primary still serves, and nothing that it holds may be lost.
-    void start(bool isOrderly, const std::string &reason);
+    void start(ChangeCause cause, const std::string &reason);
 
     // A VM has given the primary up for epochs below `epoch`.
     void released(const std::string &vm, uint64_t epoch);
--- a/gentianplank/node/primary_change_test.cc
+++ b/gentianplank/node/primary_change_test.cc
@@ -63,11 +63,16 @@
     }
 
     std::shared_ptr<PrimaryChange> begin(bool isOrderly)
+    {
+        return begin(isOrderly ? ChangeCause::Leaving : ChangeCause::Other);
+    }
+
+    std::shared_ptr<PrimaryChange> begin(ChangeCause cause)
     {
         auto change = std::make_shared<PrimaryChange>(
             environment, GroupRecord{"g", 5, GroupPhase::Serving, "p", 1, 3, false, ""}, rowVersion,
             "vm-1", [this](bool succeeded) { ended = succeeded; });
-        change->start(isOrderly, "test");
+        change->start(cause, "test");
         return change;
     }
 
@@ -116,6 +121,49 @@
     BOOST_TEST(demoted == "p.4");
 }
 
+// Pattern: after all VMs had failed to reach a dark primary, its promotion still waited for one
+// more answer of it, a third of a second of every outage.
+BOOST_FIXTURE_TEST_CASE(aPrimaryThatNoVmReachesIsNotWaitedFor, Fixture)
+{
+    says("s", false, 3, 140);
+    const auto answerAtOnce = environment.probe;
+    environment.probe = [answerAtOnce](const MemberEntry &member,
+                                       const std::function<void(MemberProbe)> &done) {
+        if (member.id != "p") {
+            answerAtOnce(member, done);
+        }
+    };
+    const auto change = begin(ChangeCause::Unreachable);
+    change->released("vm-1", 6);
+    change->released("vm-2", 6);
+    run();
+    BOOST_TEST((ended == true));
+    BOOST_TEST(promoted == std::vector<std::string>{"s"});
+}
+
+// Of a primary that may answer, what it holds is looked at first.
+BOOST_FIXTURE_TEST_CASE(aPrimaryThatStartedAnewIsWaitedFor, Fixture)
+{
+    std::function<void(MemberProbe)> late;
+    const auto answerAtOnce = environment.probe;
+    environment.probe = [&late, answerAtOnce](const MemberEntry &member,
+                                              const std::function<void(MemberProbe)> &done) {
+        if (member.id == "p") {
+            late = done;
+        } else {
+            answerAtOnce(member, done);
+        }
+    };
+    const auto change = begin(ChangeCause::Other);
+    change->released("vm-1", 6);
+    change->released("vm-2", 6);
+    run(200);
+    BOOST_TEST(promoted.empty());
+    late({false, std::nullopt, "test"});
+    run();
+    BOOST_TEST(promoted.size() == 1U);
+}
+
 // An acknowledgement by a replaced primary: nothing is promoted while a VM may still use the old
 // one.
 BOOST_FIXTURE_TEST_CASE(nothingIsPromotedWhileAVmMayUseTheOldPrimary, Fixture)
@@ -171,7 +219,7 @@
     auto change = std::make_shared<PrimaryChange>(
         environment, GroupRecord{"g", 6, GroupPhase::Changing, "p", 1, 3, false, "vm-0"},
         rowVersion, "vm-1", [this](bool succeeded) { ended = succeeded; });
-    change->start(false, "left unfinished");
+    change->start(ChangeCause::Other, "left unfinished");
     change->released("vm-1", 6);
     change->released("vm-2", 6);
     run();
