Rank dispatchers once for each view; take changed limits; bound unread bytes; metrics port

Cause: each statement ranked all VMs for each member it might go to, by hashing and by comparing names, and looked at the members of all groups. A table for each view now, at most 8 VMs at one distance; members by group in the view. Changed settings were logged only; limits take effect now, addresses at the next start. Unfinished messages of all callers together were not bounded (1 MiB each); an eighth of the memory now. With few descriptors the number of callers underflowed.

--- a/gentianplank/base/event_log.cc
+++ b/gentianplank/base/event_log.cc
@@ -50,6 +50,7 @@
 {
     int64_t second = 0;
     uint32_t lines = 0;
+    uint64_t total = 0;
 };
 
 struct Writer
@@ -97,8 +98,10 @@
         it = state.budgets.emplace(std::string(event), EventBudget{}).first;
     }
     if (it->second.second != second) {
-        it->second = {second, 0};
+        it->second.second = second;
+        it->second.lines = 0;
     }
+    ++it->second.total;
     return ++it->second.lines <= EventLinesPerSecond;
 }
 
@@ -172,6 +175,17 @@
     write(formatEvent(event, fields));
 }
 
+std::map<std::string, uint64_t> eventCounts()
+{
+    Writer &state = writer();
+    const std::lock_guard lock(state.mutex);
+    std::map<std::string, uint64_t> counts;
+    for (const auto &[event, budget] : state.budgets) {
+        counts[event] = budget.total;
+    }
+    return counts;
+}
+
 uint64_t droppedEventLines()
 {
     return droppedLines.load(std::memory_order_relaxed);
--- a/gentianplank/base/event_log.h
+++ b/gentianplank/base/event_log.h
@@ -10,6 +10,7 @@
 #include <concepts>
 #include <cstdint>
 #include <initializer_list>
+#include <map>
 #include <string>
 #include <string_view>
 
@@ -59,6 +60,9 @@
 // Lines that were dropped since the start.
 uint64_t droppedEventLines();
 
+// How often each event occurred since the start, also where its line was dropped.
+std::map<std::string, uint64_t> eventCounts();
+
 // Returns a line of "name=value" pairs; values with blanks or quotes are quoted.
 std::string formatEvent(std::string_view event, std::initializer_list<EventField> fields);
 
--- a/gentianplank/node/caller_session.cc
+++ b/gentianplank/node/caller_session.cc
@@ -24,6 +24,8 @@
 constexpr Duration StartTimeout = std::chrono::seconds(3);
 // Sent bytes that a caller does not acknowledge for this long end its session.
 constexpr Duration CallerSilence = std::chrono::seconds(10);
+// A message of at most this size is read whatever other sessions hold; nearly all are smaller.
+constexpr size_t SmallMessage = 16UL * 1024;
 constexpr Duration UnprovenHint = std::chrono::seconds(1);
 // Session values and prepared statements of one session; more are refused.
 constexpr size_t MostNames = 1000;
@@ -58,7 +60,10 @@
         , buffer(platform::LargestMessage)
     {}
 
+    ~State() { environment.unread->used -= unread; }
+
     void read();
+    void countUnread();
     void process();
     void takeStart(const CallerMessage &message);
     void takeQuery(const CallerMessage &message);
@@ -81,6 +86,7 @@
     std::array<char, ReadBytes> chunk{};
     platform::LineBuffer buffer;
     std::string writing;
+    size_t unread = 0;
     bool isReading = false;
     bool isBusy = false;
     bool isClosed = false;
@@ -120,10 +126,30 @@
         }
         state.buffer.append({state.chunk.data(), n});
         state.process();
+        state.countUnread();
         state.read();
     });
 }
 
+// Ends the session when its unread message is large and all sessions together hold too much.
+void CallerSession::State::countUnread()
+{
+    UnreadBudget &budget = *environment.unread;
+    const size_t now = isClosed ? 0 : buffer.size();
+    budget.used = budget.used - unread + now;
+    unread = now;
+    if (now > SmallMessage && budget.used > budget.most && !isClosed && !isBusy) {
+        logEvent("session.refused", {{"session", number},
+                                     {"why", "too many bytes of unfinished messages"},
+                                     {"own", now},
+                                     {"all", budget.used}});
+        write(platform::encodeError(
+                  ErrorCode::TooBig,
+                  withHint("this VM holds too many unfinished messages", UnprovenHint)),
+              true);
+    }
+}
+
 // Handles the next message while none is being answered.
 void CallerSession::State::process()
 {
--- a/gentianplank/node/caller_session.h
+++ b/gentianplank/node/caller_session.h
@@ -23,11 +23,20 @@
     Duration took{0};
 };
 
+// Bytes that callers sent and that are not handled yet, over all sessions of the VM.
+struct UnreadBudget
+{
+    size_t used = 0;
+    // Above this, a session with a large unread message is ended, so that the VM keeps its memory.
+    size_t most = 0;
+};
+
 // What sessions need of the VM around them. Outlives them.
 struct SessionEnvironment
 {
     // Nothing while the VM has no configuration that is proven to be in force.
     std::function<std::shared_ptr<const Routing>()> provenRouting;
+    std::shared_ptr<UnreadBudget> unread;
     StatementRouter *router = nullptr;
     RateExchange *rates = nullptr;
     std::function<void(const std::string &vm, const std::string &member, uint64_t session)>
--- a/gentianplank/node/control_store.cc
+++ b/gentianplank/node/control_store.cc
@@ -289,6 +289,9 @@
     auto next = std::make_shared<FleetView>();
     next->routing = routing;
     next->members = members;
+    for (const auto &[id, member] : members) {
+        next->membersOfGroup[member.entry.group].push_back(id);
+    }
     for (const auto &[name, group] : groups) {
         if (group.version != 0) {
             next->groups[name] = group.record;
--- a/gentianplank/node/entry_test.cc
+++ b/gentianplank/node/entry_test.cc
@@ -11,6 +11,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <poll.h>
+
 #include <atomic>
 #include <thread>
 
@@ -43,6 +45,7 @@
         m_settings.storeAddress = store.address();
         m_settings.promotionAddress = store.address();
         m_settings.fileDescriptors = 4000;
+        m_settings.memoryMb = 64;
         static uint64_t incarnation = 1;
         ++incarnation;
         m_control = std::make_unique<Control>(m_settings, incarnation);
@@ -114,6 +117,20 @@
         return lines;
     }
 
+    // Sends bytes as they are; what the far end no longer reads is given up.
+    void sendRaw(const std::string &bytes)
+    {
+        boost::system::error_code ec;
+        asio::write(m_socket, asio::buffer(bytes), ec);
+    }
+
+    // Whether an error or the connection's end comes within `patience`.
+    bool wasRefusedWithin(std::chrono::milliseconds patience)
+    {
+        pollfd poller{m_socket.native_handle(), POLLIN, 0};
+        return poll(&poller, 1, static_cast<int>(patience.count())) > 0;
+    }
+
     std::string first(const std::string &line)
     {
         const auto lines = ask(line);
@@ -239,6 +256,29 @@
     BOOST_TEST(caller.first("QUERY q2 READ warm").starts_with("ERROR NOAUTH"));
 }
 
+// Pattern: unfinished messages of many callers took memory without a bound over all of them.
+BOOST_FIXTURE_TEST_CASE(unfinishedMessagesOfManyCallersAreBounded, Fixture)
+{
+    awaitService(first->callerAddress());
+    Caller usual(first->callerAddress());
+    usual.first("START ledger k1");
+    // Of the 8 MB that such messages may take, 12 callers would fill 12.
+    const std::string part = "QUERY q1 WRITE a " + std::string(1000000, 'x');
+    std::vector<std::unique_ptr<Caller>> flood;
+    for (int i = 0; i < 12; ++i) {
+        flood.push_back(std::make_unique<Caller>(first->callerAddress()));
+        flood.back()->first("START ledger k1");
+        flood.back()->sendRaw(part);
+    }
+    size_t refused = 0;
+    for (const auto &it : flood) {
+        refused += it->wasRefusedWithin(500ms) ? 1 : 0;
+    }
+    BOOST_TEST(refused >= 4U);
+    BOOST_TEST(refused < 12U);
+    BOOST_TEST(usual.first("QUERY q2 READ warm").starts_with("ROW"));
+}
+
 // A store that can't be reached: keys may not be used longer than their withdrawal may take.
 BOOST_FIXTURE_TEST_CASE(withoutAProofNothingRunsForAKey, Fixture)
 {
--- a/gentianplank/node/fleet_view.h
+++ b/gentianplank/node/fleet_view.h
@@ -28,6 +28,8 @@
 {
     std::shared_ptr<const Routing> routing;
     std::map<std::string, MemberInView, std::less<>> members;
+    // Ids of each group's members.
+    std::map<std::string, std::vector<std::string>, std::less<>> membersOfGroup;
     std::map<std::string, GroupRecord, std::less<>> groups;
     std::vector<VmRecord> vms;
     // This VM was known before its process started, so its part of the rates is free to use.
--- a/gentianplank/node/main.cc
+++ b/gentianplank/node/main.cc
@@ -18,6 +18,8 @@
 
 ABSL_FLAG(std::string, settings, "",
           "the platform's settings file; by default the one that the environment names");
+ABSL_FLAG(uint16_t, metrics_port, 0,
+          "also serve metrics at this port of the VM's address; 0: only where readiness is");
 ABSL_FLAG(bool, check, false, "check the settings, print what is wrong with them, and end");
 
 namespace {
@@ -51,8 +53,18 @@
     }
 }
 
-// Changes that a running process can't take are logged; the next start takes them.
-void reloadSettings(const std::string &file, const EntryVmSettings &current, bool wasAsked)
+std::string joined(const std::vector<std::string> &names)
+{
+    std::string text;
+    for (const std::string &it : names) {
+        text += (text.empty() ? "" : ", ") + it;
+    }
+    return text;
+}
+
+// Reads the settings again. What a running process can't take is logged; the next start takes it.
+void reloadSettings(const std::string &file, EntryVmSettings &current, bool wasAsked,
+                    Traffic &traffic)
 {
     const auto loaded = platform::loadProcessSettings(file);
     if (!loaded) {
@@ -61,14 +73,20 @@
         }
         return;
     }
-    const bool isChanged = !(*loaded == current);
-    if (wasAsked || isChanged) {
-        logEvent("settings.reloaded", {{"changed", isChanged}, {"asked", wasAsked}});
+    const SettingsChange change = changeRunning(current, *loaded);
+    current = change.inForce;
+    if (!change.taken.empty()) {
+        traffic.applySettings(current);
+    }
+    if (wasAsked || !change.taken.empty()) {
+        logEvent("settings.reloaded", {{"asked", wasAsked},
+                                       {"taken", joined(change.taken)},
+                                       {"at_next_start", joined(change.waiting)}});
     }
 }
 
-void waitForSignals(const sigset_t &signals, const std::string &file,
-                    const EntryVmSettings &settings, Control &control)
+void waitForSignals(const sigset_t &signals, const std::string &file, EntryVmSettings settings,
+                    Control &control, Traffic &traffic)
 {
     bool isStopping = false;
     while (true) {
@@ -84,7 +102,7 @@
             isStopping = true;
             control.leave();
         } else if (!isStopping) {
-            reloadSettings(file, settings, signal == SIGHUP);
+            reloadSettings(file, settings, signal == SIGHUP, traffic);
         }
     }
 }
@@ -124,14 +142,14 @@
     handler.onHandOver = [&] { control.handOver(); };
     handler.onStopped = [mainThread] { pthread_kill(mainThread, SIGUSR1); };
     Traffic traffic(settings, incarnation, std::move(handler));
-    if (const auto error = traffic.start()) {
+    if (const auto error = traffic.start(absl::GetFlag(FLAGS_metrics_port))) {
         logEvent("start.failed", {{"why", *error}});
         std::cerr << *error << '\n';
         stopEventLog();
         return EXIT_FAILURE;
     }
     control.start(traffic);
-    waitForSignals(signals, file, settings, control);
+    waitForSignals(signals, file, settings, control, traffic);
     control.join();
     traffic.join();
     logEvent("stop", {{"vm", settings.name}});
@@ -143,8 +161,9 @@
 
 int main(int argc, char **argv)
 {
-    absl::SetProgramUsageMessage("Serves callers of database groups on an entry VM.\n"
-                                 "gentianplank-entry [--settings FILE] [--check]");
+    absl::SetProgramUsageMessage(
+        "Serves callers of database groups on an entry VM.\n"
+        "gentianplank-entry [--settings FILE] [--metrics_port PORT] [--check]");
     absl::FlagsUsageConfig usage;
     usage.version_string = [] { return std::string(Version) + "\n"; };
     absl::SetFlagsUsageConfig(usage);
--- a/gentianplank/node/node_metrics.cc
+++ b/gentianplank/node/node_metrics.cc
@@ -18,6 +18,22 @@
 
 constexpr double SecondsPerMicrosecond = 1e-6;
 
+// Each kind of log line is a counter too: their names are few and fixed.
+prometheus::MetricFamily eventFamily()
+{
+    prometheus::MetricFamily family;
+    family.name = "gentianplank_events_total";
+    family.help = "Events by the name that they have in the log";
+    family.type = prometheus::MetricType::Counter;
+    for (const auto &[event, n] : eventCounts()) {
+        prometheus::ClientMetric metric;
+        metric.label = {{"event", event}};
+        metric.counter.value = static_cast<double>(n);
+        family.metric.push_back(std::move(metric));
+    }
+    return family;
+}
+
 } // namespace
 
 struct NodeMetrics::State
@@ -81,7 +97,9 @@
 std::string NodeMetrics::text() const
 {
     m_state->droppedLines.Set(static_cast<double>(droppedEventLines()));
-    return prometheus::TextSerializer().Serialize(m_state->registry.Collect());
+    auto families = m_state->registry.Collect();
+    families.push_back(eventFamily());
+    return prometheus::TextSerializer().Serialize(families);
 }
 
 } // namespace gentianplank
--- a/gentianplank/node/statement_router.cc
+++ b/gentianplank/node/statement_router.cc
@@ -68,7 +68,7 @@
     void attempt(const RunPointer &run);
     void attemptPrimary(const RunPointer &run);
     void attemptReader(const RunPointer &run);
-    std::optional<std::string> dispatcherOf(const std::string &member, const FleetView &view) const;
+    std::optional<std::string> dispatcherOf(const std::string &member) const;
     void sendTo(const RunPointer &run, const std::string &vm, const std::string &member,
                 uint64_t epoch);
     void take(const RunPointer &run, const std::string &vm, const std::string &member,
@@ -109,8 +109,7 @@
         wait(run, "the group has no primary at the moment");
         return;
     }
-    const auto view = environment.view();
-    const auto vm = dispatcherOf(record->primary, *view);
+    const auto vm = dispatcherOf(record->primary);
     if (!vm) {
         wait(run, "no VM reaches the group's primary");
         return;
@@ -130,13 +129,14 @@
     const bool readsOwnWrites = run->request.consistency == Consistency::ReadYourWrites;
     const bool isFreshCommit = readsOwnWrites && run->request.lastCommit &&
                                now - run->request.lastCommitAt < ReplicationTime;
+    static const std::vector<std::string> none;
     std::vector<ReadCandidate> candidates;
-    for (const auto &[id, member] : view->members) {
-        if (member.entry.group != group || member.leavingSince != BootInstant{}) {
-            continue;
-        }
+    const auto ids = view->membersOfGroup.find(group);
+    for (const std::string &id : ids == view->membersOfGroup.end() ? none : ids->second) {
+        const MemberInView &member = view->members.at(id);
         const bool isPrimary = known != view->groups.end() && known->second.primary == id;
-        if ((isPrimary && !record) || !dispatcherOf(id, *view)) {
+        const bool isLeaving = member.leavingSince != BootInstant{};
+        if (isLeaving || (isPrimary && !record) || !dispatcherOf(id)) {
             continue;
         }
         const MemberKnowledge &knowledge = members[id];
@@ -158,7 +158,7 @@
         return;
     }
     const ReadCandidate &best = *ranked.front();
-    const auto vm = dispatcherOf(best.id, *view);
+    const auto vm = dispatcherOf(best.id);
     if (best.isPrimary) {
         run->request.statement.after.reset();
         run->request.statement.freshness.reset();
@@ -171,15 +171,10 @@
     sendTo(run, *vm, best.id, 0);
 }
 
-std::optional<std::string> StatementRouter::State::dispatcherOf(const std::string &member,
-                                                                const FleetView &view) const
+std::optional<std::string> StatementRouter::State::dispatcherOf(const std::string &member) const
 {
-    const auto it = view.members.find(member);
-    if (it == view.members.end()) {
-        return std::nullopt;
-    }
     const Instant now = steadyNow();
-    for (const VmRecord *vm : dispatchersFor(member, it->second.place, view.vms)) {
+    for (const VmRecord *vm : environment.dispatchers(member)) {
         const auto avoided = avoidedDispatchers.find({member, vm->name});
         const bool isAvoided = avoided != avoidedDispatchers.end() && now < avoided->second;
         if (!isAvoided && environment.isReachable(vm->name)) {
--- a/gentianplank/node/statement_router.h
+++ b/gentianplank/node/statement_router.h
@@ -8,6 +8,7 @@
 #include "gentianplank/node/forwarded_statement.h"
 
 #include <memory>
+#include <span>
 
 namespace gentianplank {
 
@@ -41,6 +42,8 @@
     std::function<std::shared_ptr<const FleetView>()> view;
     // Nothing when the group's primary may not be used now.
     std::function<std::optional<GroupRecord>(const std::string &group)> usablePrimary;
+    // The VMs that may dispatch for a member, the best first.
+    std::function<std::span<const VmRecord *const>(const std::string &member)> dispatchers;
     std::function<bool(const std::string &vm)> isReachable;
     std::function<void(const std::string &vm, const ForwardedStatement &, OutcomeHandler)> execute;
 };
--- a/gentianplank/node/statement_router_test.cc
+++ b/gentianplank/node/statement_router_test.cc
@@ -31,6 +31,10 @@
         environment.usablePrimary = [this](const std::string &) {
             return mayUse ? std::optional(view->groups["g"]) : std::nullopt;
         };
+        environment.dispatchers = [this](const std::string &member) {
+            ranked = dispatchersFor(member, view->members[member].place, view->vms);
+            return std::span<const VmRecord *const>(ranked);
+        };
         environment.isReachable = [this](const std::string &vm) { return dark.count(vm) == 0; };
         environment.execute = [this](const std::string &vm, const ForwardedStatement &statement,
                                      OutcomeHandler done) {
@@ -45,6 +49,7 @@
         member.entry = {id, "g", "10.0.0.1:1", zone, 2, false, id == "p", 1};
         member.place = {zone, region};
         view->members[id] = member;
+        view->membersOfGroup["g"].push_back(id);
     }
 
     void addVm(const std::string &name, const std::string &zone, const std::string &region)
@@ -85,6 +90,7 @@
     }
 
     std::shared_ptr<FleetView> view = std::make_shared<FleetView>();
+    std::vector<const VmRecord *> ranked;
     std::set<std::string> dark;
     std::vector<Sent> sent;
     bool mayUse = true;
--- a/gentianplank/node/traffic.cc
+++ b/gentianplank/node/traffic.cc
@@ -28,41 +28,46 @@
 constexpr Duration BalancerPause = std::chrono::milliseconds(2300);
 // A stopping VM dispatches for its members this long: another one may be far from them.
 constexpr Duration HandOverPause = std::chrono::milliseconds(1800);
-// Descriptors for peers, members, the store and logs; callers get the rest.
-constexpr uint32_t ReservedDescriptors = 700;
 // A leaving member gets no new work this much before the platform's limit.
 constexpr Duration DrainMargin = std::chrono::milliseconds(2000);
+constexpr std::string_view MetricsPath = "/metrics";
 
 } // namespace
 
-std::optional<std::string> Traffic::State::listen()
+HttpAnswer Traffic::State::answerHttp(const HttpCall &call) const
 {
-    const auto endpoint = parseEndpoint(settings.callerAddress);
-    error_code ec;
-    acceptor.open(endpoint->protocol(), ec);
-    acceptor.set_option(asio::socket_base::reuse_address(true), ec);
-    acceptor.bind(*endpoint, ec);
-    if (!ec) {
-        acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    if (call.target == platform::ReadinessPath) {
+        return {isReady() ? 200U : 503U, "", "text/plain", Duration::zero()};
     }
-    if (ec) {
-        return "cannot listen for callers at " + settings.callerAddress + ": " + ec.message();
+    if (call.target == MetricsPath) {
+        return {200, metrics.text(), "text/plain; version=0.0.4", Duration::zero()};
     }
-    readiness = std::make_unique<HttpListener>(
-        ioContext, settings.readyAddress, [this](const HttpCall &call) -> HttpAnswer {
-            if (call.target == platform::ReadinessPath) {
-                return {isReady() ? 200U : 503U, "", "text/plain", Duration::zero()};
-            }
-            if (call.target == "/metrics") {
-                return {200, metrics.text(), "text/plain; version=0.0.4", Duration::zero()};
-            }
-            return {404, "", "text/plain", Duration::zero()};
-        });
+    return {404, "", "text/plain", Duration::zero()};
+}
+
+std::optional<std::string> Traffic::State::listen(uint16_t metricsPort)
+{
+    if (auto error = callerListener.start(settings.callerAddress)) {
+        return "for callers: " + *error;
+    }
+    const auto answer = [this](const HttpCall &call) { return answerHttp(call); };
+    readiness = std::make_unique<HttpListener>(ioContext, settings.readyAddress, answer);
     if (auto error = readiness->start()) {
-        return error;
+        return "for readiness: " + *error;
+    }
+    if (metricsPort != 0) {
+        metricsListener = std::make_unique<HttpListener>(
+            ioContext, settings.ip + ":" + std::to_string(metricsPort), answer);
+        // Callers are served without it.
+        if (const auto error = metricsListener->start()) {
+            logEvent("metrics.unavailable", {{"why", *error}});
+        }
     }
     peerAddress = settings.ip + ":" + std::to_string(settings.firstPeerPort);
-    return mesh->listen(peerAddress);
+    if (auto error = mesh->listen(peerAddress)) {
+        return "for peers: " + *error;
+    }
+    return std::nullopt;
 }
 
 void Traffic::State::makeParts()
@@ -96,6 +101,9 @@
     routerEnvironment.usablePrimary = [this](const std::string &group) {
         return usablePrimary(group);
     };
+    routerEnvironment.dispatchers = [this](const std::string &member) {
+        return dispatchTable.dispatchersOf(member);
+    };
     routerEnvironment.isReachable = [this](const std::string &vm) {
         return vm == settings.name ? !isHandedOver : mesh->isReachable(vm);
     };
@@ -108,6 +116,8 @@
     sessionEnvironment.provenRouting = [this]() -> std::shared_ptr<const Routing> {
         return hasProvenConfiguration() ? view->routing : nullptr;
     };
+    sessionEnvironment.unread = std::make_shared<UnreadBudget>();
+    sessionEnvironment.unread->most = mostUnreadBytes(settings);
     sessionEnvironment.router = router.get();
     sessionEnvironment.rates = rates.get();
     sessionEnvironment.endTransaction = [this](const std::string &vm, const std::string &member,
@@ -120,25 +130,17 @@
     };
 }
 
-void Traffic::State::accept()
+void Traffic::State::takeCaller(asio::ip::tcp::socket socket)
 {
-    acceptor.async_accept([this](error_code ec, asio::ip::tcp::socket socket) {
-        if (ec == asio::error::operation_aborted) {
-            return;
-        }
-        const size_t most = settings.fileDescriptors - ReservedDescriptors;
-        if (!ec && sessions.size() < most) {
-            const uint64_t number = nextSession++;
-            auto session =
-                std::make_shared<CallerSession>(std::move(socket), number, sessionEnvironment);
-            sessions[number] = session;
-            session->start();
-        } else if (!ec) {
-            logEvent("session.refused", {{"why", "too many sessions"}, {"open", sessions.size()}});
-            resetSocket(socket);
-        }
-        accept();
-    });
+    if (sessions.size() >= mostCallers(settings)) {
+        logEvent("session.refused", {{"why", "too many sessions"}, {"open", sessions.size()}});
+        resetSocket(socket);
+        return;
+    }
+    const uint64_t number = nextSession++;
+    auto session = std::make_shared<CallerSession>(std::move(socket), number, sessionEnvironment);
+    sessions[number] = session;
+    session->start();
 }
 
 void Traffic::State::scheduleTick()
@@ -283,7 +285,7 @@
             continue;
         }
         it->second->update(member->second.entry, dispatcherLimits(member->second));
-        const auto ranked = dispatchersFor(it->first, member->second.place, view->vms);
+        const auto ranked = dispatchTable.dispatchersOf(it->first);
         it->second->setFirstChoice(!ranked.empty() && ranked.front()->name == settings.name &&
                                    !isHandedOver);
         ++it;
@@ -413,12 +415,11 @@
     join();
 }
 
-std::optional<std::string> Traffic::start()
+std::optional<std::string> Traffic::start(uint16_t metricsPort)
 {
-    if (auto error = m_state->listen()) {
+    if (auto error = m_state->listen(metricsPort)) {
         return error;
     }
-    m_state->accept();
     m_state->scheduleTick();
     m_state->thread = std::thread([state = m_state] { state->ioContext.run(); });
     return std::nullopt;
@@ -433,6 +434,7 @@
 {
     asio::post(m_state->ioContext, [state = m_state, view = std::move(view)] {
         state->view = view;
+        state->dispatchTable.update(view);
         state->mesh->setPeers(view->vms);
         state->rates->update(*view, steadyNow());
         state->updateDispatchers();
@@ -445,6 +447,14 @@
     asio::post(m_state->ioContext, [state = m_state, proofs] { state->proofs = proofs; });
 }
 
+void Traffic::applySettings(const EntryVmSettings &settings)
+{
+    asio::post(m_state->ioContext, [state = m_state, settings] {
+        state->settings = settings;
+        state->sessionEnvironment.unread->most = mostUnreadBytes(settings);
+    });
+}
+
 void Traffic::sendToPeer(const std::string &vm, const peer::v1::Frame &frame)
 {
     asio::post(m_state->ioContext, [state = m_state, vm, frame] {
--- a/gentianplank/node/traffic.h
+++ b/gentianplank/node/traffic.h
@@ -42,8 +42,9 @@
     Traffic(EntryVmSettings settings, uint64_t incarnation, TrafficHandler handler);
     ~Traffic();
 
-    // Listens and starts the thread. Returns what failed, if anything did.
-    std::optional<std::string> start();
+    // Listens and starts the thread. Returns what failed, if anything did. Metrics are served at
+    // the address for readiness, and at `metricsPort` unless it is 0 or taken.
+    std::optional<std::string> start(uint16_t metricsPort = 0);
 
     // The address where peers reach this VM; only after start().
     std::string peerAddress() const;
@@ -51,6 +52,9 @@
     void publish(std::shared_ptr<const FleetView> view);
     void prove(const FleetProofs &proofs);
 
+    // Takes changed limits; see changeRunning().
+    void applySettings(const EntryVmSettings &settings);
+
     // Sends a frame to a peer, or to this VM itself.
     void sendToPeer(const std::string &vm, const peer::v1::Frame &frame);
 
--- a/gentianplank/node/traffic_peers.cc
+++ b/gentianplank/node/traffic_peers.cc
@@ -117,7 +117,7 @@
         if (primary == view->members.end()) {
             continue;
         }
-        const auto ranked = dispatchersFor(record->primary, primary->second.place, view->vms);
+        const auto ranked = dispatchTable.dispatchersOf(record->primary);
         const auto vm = std::find_if(ranked.begin(), ranked.end(), [&](const VmRecord *it) {
             return it->name == settings.name || mesh->isReachable(it->name);
         });
--- a/gentianplank/node/traffic_state.h
+++ b/gentianplank/node/traffic_state.h
@@ -5,7 +5,9 @@
 #include "gentianplank/node/traffic.h"
 
 #include "gentianplank/http/http_listener.h"
+#include "gentianplank/http/tcp_listener.h"
 #include "gentianplank/node/caller_session.h"
+#include "gentianplank/node/dispatch_table.h"
 #include "gentianplank/node/member_dispatcher.h"
 #include "gentianplank/node/node_metrics.h"
 #include "gentianplank/node/peer_mesh.h"
@@ -39,12 +41,15 @@
         , incarnation(number)
         , handler(std::move(callbacks))
         , tickTimer(ioContext)
-        , acceptor(ioContext)
+        , callerListener(ioContext, [this](boost::asio::ip::tcp::socket socket) {
+            takeCaller(std::move(socket));
+        })
     {}
 
-    std::optional<std::string> listen();
+    std::optional<std::string> listen(uint16_t metricsPort);
+    HttpAnswer answerHttp(const HttpCall &call) const;
     void makeParts();
-    void accept();
+    void takeCaller(boost::asio::ip::tcp::socket socket);
     void scheduleTick();
     void tick();
 
@@ -78,8 +83,9 @@
     TrafficHandler handler;
     boost::asio::io_context ioContext;
     boost::asio::steady_timer tickTimer;
-    boost::asio::ip::tcp::acceptor acceptor;
+    TcpListener callerListener;
     std::unique_ptr<HttpListener> readiness;
+    std::unique_ptr<HttpListener> metricsListener;
     std::unique_ptr<PeerMesh> mesh;
     std::unique_ptr<RateExchange> rates;
     std::unique_ptr<StatementRouter> router;
@@ -88,6 +94,7 @@
     std::string peerAddress;
 
     std::shared_ptr<const FleetView> view = std::make_shared<FleetView>();
+    DispatchTable dispatchTable;
     FleetProofs proofs;
     bool wasProven = false;
     // Positions of the primaries, for the reads that this VM dispatches.
--- a/gentianplank/settings/entry_vm_settings.h
+++ b/gentianplank/settings/entry_vm_settings.h
@@ -37,4 +37,24 @@
     bool operator==(const EntryVmSettings &) const = default;
 };
 
+// How many callers may be connected at once: what the descriptors for peers, members, the store and
+// logs leave.
+size_t mostCallers(const EntryVmSettings &settings);
+
+// Bytes that unread messages of all callers together may take: an eighth of the memory, since each
+// is copied on its way.
+size_t mostUnreadBytes(const EntryVmSettings &settings);
+
+// What becomes of newly read settings in a process that runs.
+struct SettingsChange
+{
+    EntryVmSettings inForce;
+    // Names of fields that took effect, and of those that take effect at the next start.
+    std::vector<std::string> taken;
+    std::vector<std::string> waiting;
+};
+
+// Takes the limits of `loaded`; names, places and addresses of a running process stay.
+SettingsChange changeRunning(const EntryVmSettings &running, const EntryVmSettings &loaded);
+
 } // namespace gentianplank
--- /dev/null
+++ b/gentianplank/settings/entry_vm_settings_test.cc
@@ -0,0 +1,42 @@
+#include "gentianplank/settings/entry_vm_settings.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace gentianplank;
+using namespace std::chrono_literals;
+
+// Pattern: changed settings were logged and had no effect until the next start.
+BOOST_AUTO_TEST_CASE(takesLimitsAndLeavesAddresses)
+{
+    EntryVmSettings running;
+    running.callerAddress = "10.0.0.1:5000";
+    EntryVmSettings loaded = running;
+    loaded.revocationLimit = 2s;
+    loaded.grace = 9s;
+    loaded.callerAddress = "10.0.0.1:6000";
+    const SettingsChange change = changeRunning(running, loaded);
+    BOOST_CHECK(change.inForce.revocationLimit == Duration(2s));
+    BOOST_CHECK(change.inForce.grace == Duration(9s));
+    BOOST_TEST(change.inForce.callerAddress == "10.0.0.1:5000");
+    const std::vector<std::string> taken{"revocation limit", "grace"};
+    const std::vector<std::string> waiting{"address for callers"};
+    BOOST_TEST(change.taken == taken, boost::test_tools::per_element());
+    BOOST_TEST(change.waiting == waiting, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(saysNothingOfSettingsThatAreTheSame)
+{
+    const SettingsChange change = changeRunning({}, {});
+    BOOST_TEST(change.taken.empty());
+    BOOST_TEST(change.waiting.empty());
+}
+
+// Pattern: with fewer descriptors than are reserved, the number of callers was not bounded.
+BOOST_AUTO_TEST_CASE(boundsCallersWhenDescriptorsAreFew)
+{
+    EntryVmSettings settings;
+    settings.fileDescriptors = 300;
+    BOOST_TEST(mostCallers(settings) == 150U);
+    settings.fileDescriptors = 4300;
+    BOOST_TEST(mostCallers(settings) == 3600U);
+}
--- a/gentianplank/vm/fleet_records.cc
+++ b/gentianplank/vm/fleet_records.cc
@@ -4,6 +4,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <map>
+#include <unordered_map>
+
 namespace gentianplank {
 
 namespace {
@@ -62,21 +66,21 @@
 std::vector<const VmRecord *> dispatchersFor(std::string_view memberId, const Place &memberPlace,
                                              std::span<const VmRecord> vms)
 {
+    std::map<Distance, std::vector<std::string>> names;
+    std::unordered_map<std::string_view, const VmRecord *> byName;
+    for (const VmRecord &it : vms) {
+        if (!it.isLeaving) {
+            names[distanceBetween(it.place, memberPlace)].push_back(it.name);
+            byName[it.name] = &it;
+        }
+    }
     std::vector<const VmRecord *> ranked;
     for (const Distance distance :
          {Distance::SameZone, Distance::SameRegion, Distance::OtherRegion}) {
-        std::vector<std::string> names;
-        for (const VmRecord &it : vms) {
-            if (!it.isLeaving && distanceBetween(it.place, memberPlace) == distance) {
-                names.push_back(it.name);
-            }
-        }
-        for (const std::string &name : rankByRendezvous(memberId, names)) {
-            for (const VmRecord &it : vms) {
-                if (it.name == name) {
-                    ranked.push_back(&it);
-                }
-            }
+        auto best = rankByRendezvous(memberId, names[distance]);
+        best.resize(std::min(best.size(), MostAtOneDistance));
+        for (const std::string &name : best) {
+            ranked.push_back(byName[name]);
         }
     }
     return ranked;
