Follow the store through one VM of a region; settle a starting fleet first

Now: one order of all VMs by hashing; each follows the first of its zone, that one the first of its region; nobody follows one that stands after itself, so no two follow each other (vm/relay_choice). First readings come from the relay too. A failed relay is passed over, the next asked for what it knows at once; where store and relays fail, a VM waits for a relay instead of calling. At a first start, rows are written, 0.7 s let pass, then read; the duty is taken in turn. Ruled out: members' changes (a fifth), proofs' waits (unchanged).

--- a/gentianplank/node/caller_session.cc
+++ b/gentianplank/node/caller_session.cc
@@ -90,6 +90,8 @@
     bool isReading = false;
     bool isBusy = false;
     bool isClosed = false;
+    // Its last answer is on its way.
+    bool isEnding = false;
     bool isProcessing = false;
 
     bool hasStarted = false;
@@ -110,7 +112,7 @@
 
 void CallerSession::State::read()
 {
-    if (isReading || isClosed || buffer.size() > MostReadAhead) {
+    if (isReading || isClosed || isEnding || buffer.size() > MostReadAhead) {
         return;
     }
     isReading = true;
@@ -135,7 +137,7 @@
 void CallerSession::State::countUnread()
 {
     UnreadBudget &budget = *environment.unread;
-    const size_t now = isClosed ? 0 : buffer.size();
+    const size_t now = isClosed || isEnding ? 0 : buffer.size();
     budget.used = budget.used - unread + now;
     unread = now;
     if (now > SmallMessage && budget.used > budget.most && !isClosed && !isBusy) {
@@ -147,6 +149,8 @@
                   ErrorCode::TooBig,
                   withHint("this VM holds too many unfinished messages", UnprovenHint)),
               true);
+        budget.used -= unread;
+        unread = 0;
     }
 }
 
@@ -420,6 +424,7 @@
         return;
     }
     isBusy = true;
+    isEnding = thenClose;
     writing = std::move(bytes);
     asio::async_write(socket, asio::buffer(writing),
                       [owner = self.lock(), thenClose](error_code ec, size_t) {
--- a/gentianplank/node/control.cc
+++ b/gentianplank/node/control.cc
@@ -37,6 +37,7 @@
     if (!isRegistered && fleetFollower->provenAt() != BootInstant{}) {
         registerVm();
     }
+    dismissFollowers();
     if (isRegistered && !isHandedOver) {
         considerDuty();
         if (holdsDuty()) {
@@ -56,10 +57,7 @@
                                  const std::function<void(const peer::v1::Frame &)> &reply)
 {
     if (frame.has_feed_ask()) {
-        // Only who asks the store itself tells others, so that proofs make one way.
-        const bool isRelay = !relayToFollow();
-        relay.ask(frame.feed_ask(), isRelay ? followerOf(frame.feed_ask().table()) : nullptr,
-                  reply);
+        relay.ask(frame.feed_ask(), followerOf(frame.feed_ask().table()), reply);
     } else if (frame.has_suspicion()) {
         suspect(frame.suspicion().group(), frame.suspicion().member());
     } else if (frame.has_probe()) {
--- a/gentianplank/node/control_duty.cc
+++ b/gentianplank/node/control_duty.cc
@@ -16,6 +16,8 @@
 constexpr Duration DutyCheckInterval = std::chrono::milliseconds(400);
 constexpr Duration DutyLost = std::chrono::milliseconds(1500);
 constexpr size_t DutyCandidates = 3;
+// In a fleet that starts, the first reading of all rows takes this long after it settled.
+constexpr Duration DutySettle = std::chrono::milliseconds(300);
 // A promotion is sent at most this long after the proof that the duty is held, and reset when it
 // has no answer after the second figure; whoever takes the duty over waits for both.
 constexpr Duration DutyProofAge = std::chrono::milliseconds(250);
@@ -43,7 +45,7 @@
 // Takes the duty when its holder is gone and this VM is next in line.
 void Control::State::considerDuty()
 {
-    if (holdsDuty() || isTakingDuty || isLeaving) {
+    if (holdsDuty() || isTakingDuty || isLeaving || !isFleetSettled()) {
         return;
     }
     const BootInstant now = bootNow();
@@ -70,7 +72,9 @@
     // Those further down the line wait longer, in case the ones before them are gone too.
     const Duration patience =
         (isGone ? Duration::zero() : DutyLost) + DutyCheckInterval * static_cast<int64_t>(rank);
-    if (isGone ? now - std::max(holderHeardAt, holderAskedAt) < patience
+    // In a fleet that starts, each waits its turn from when the others are known.
+    const BootInstant settledAt = wasKnownBefore ? startedAt : startedAt + FleetSettle + DutySettle;
+    if (isGone ? now - std::max({holderHeardAt, holderAskedAt, settledAt}) < patience
                : now - holderHeardAt < patience) {
         return;
     }
--- a/gentianplank/node/control_state.h
+++ b/gentianplank/node/control_state.h
@@ -24,6 +24,9 @@
 // How long a call to the store may take, and when it is made again.
 inline constexpr Duration StoreTimeout = std::chrono::milliseconds(1500);
 inline constexpr Duration StoreRetryPause = std::chrono::milliseconds(200);
+// How long a fleet that starts for the first time takes until its VMs have written their rows: all
+// start within 0.3 s, and a write takes some ms.
+inline constexpr Duration FleetSettle = std::chrono::milliseconds(700);
 // Numbers of probes that ask for no member: whether the holder of the duty can do it, and whether a
 // VM runs.
 inline constexpr uint64_t DutyProbe = 0;
@@ -78,7 +81,9 @@
     void publish();
 
     SecondHandEnvironment secondHandEnvironment();
-    std::optional<std::string> relayToFollow() const;
+    std::optional<RelayChoice> relayToFollow(const std::set<std::string> &avoided) const;
+    bool isFleetSettled() const;
+    void dismissFollowers();
     const TableFollower *followerOf(const std::string &table) const;
 
     // This VM's own row.
@@ -142,6 +147,11 @@
     FleetProofs proofs;
     BootInstant memberProof{};
     BootInstant startedAt{};
+    // Tables whose following is lost, since when.
+    std::map<std::string, BootInstant> storeLostAt;
+    // The version of this VM's own row as it wrote it; 0 before.
+    uint64_t ownRowVersion = 0;
+    bool isFollowingAll = false;
     bool isPublishing = false;
     bool isRegistering = false;
     bool isRegistered = false;
--- a/gentianplank/node/control_store.cc
+++ b/gentianplank/node/control_store.cc
@@ -21,11 +21,8 @@
 constexpr Duration ConfigurationWait = std::chrono::milliseconds(2900);
 constexpr Duration FleetWait = std::chrono::milliseconds(1800);
 constexpr Duration MemberWait = std::chrono::milliseconds(4000);
-// In a larger zone, only the relays ask the store; the others are told by them.
-constexpr size_t LargestZoneWithoutRelays = 3;
-constexpr size_t RelaysOfZone = 2;
-// Until a fleet that starts at once has seen all its rows, its VMs would follow each other.
-constexpr Duration RelaysSettle = std::chrono::milliseconds(1000);
+// Followers are told that this VM lost the store after this long; by then it has tried another way.
+constexpr Duration LossNotice = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -49,9 +46,10 @@
     listener.onProof = std::move(onProof);
     listener.onReachable = [this, table](bool isReachable, const std::string &what) {
         logEvent(isReachable ? "store.reached" : "store.lost", {{"table", table}, {"what", what}});
-        const TableFollower *follower = followerOf(table);
-        if (!isReachable && follower != nullptr) {
-            relay.advanced(table, *follower);
+        if (isReachable) {
+            storeLostAt.erase(table);
+        } else {
+            storeLostAt.emplace(table, bootNow());
         }
     };
     return listener;
@@ -85,6 +83,7 @@
                 relay.advanced(platform::MemberTable, *memberFollower);
             }));
     figures.wait = FleetWait;
+    figures.firstPause = [this] { return isFleetSettled() ? Duration::zero() : FleetSettle; };
     fleetFollower = std::make_unique<TableFollower>(
         followed, scheduler, FleetTable, figures,
         listenerOf(
@@ -96,16 +95,28 @@
                 if (!isRegistered) {
                     registerVm();
                 }
+                if (!isFollowingAll && isFleetSettled()) {
+                    isFollowingAll = true;
+                    configurationFollower->start();
+                    memberFollower->start();
+                }
             }));
-    configurationFollower->start();
-    memberFollower->start();
     fleetFollower->start();
 }
 
+// Whether the fleet's rows say enough to know whom to follow: a fleet that starts for the first
+// time needs a moment to write them.
+bool Control::State::isFleetSettled() const
+{
+    return wasKnownBefore || bootNow() - startedAt >= FleetSettle;
+}
+
 SecondHandEnvironment Control::State::secondHandEnvironment()
 {
     SecondHandEnvironment environment;
-    environment.relay = [this] { return relayToFollow(); };
+    environment.relay = [this](const std::set<std::string> &avoided) {
+        return relayToFollow(avoided);
+    };
     environment.send = [this](const std::string &vm, const peer::v1::Frame &frame) {
         traffic->sendToPeer(vm, frame);
     };
@@ -115,26 +126,23 @@
     return environment;
 }
 
-// The VM of the zone that tells this one what the store says; nothing for those who ask it.
-std::optional<std::string> Control::State::relayToFollow() const
+// The VM that tells this one what the store says; nothing for those who ask it.
+std::optional<RelayChoice> Control::State::relayToFollow(const std::set<std::string> &avoided) const
 {
-    std::vector<std::string> names;
-    for (const auto &[name, record] : vms) {
-        if (record.place.zone == settings.place.zone && !record.isLeaving) {
-            names.push_back(name);
-        }
-    }
-    const bool isSettled = isRegistered && bootNow() - startedAt > RelaysSettle;
-    if (names.size() <= LargestZoneWithoutRelays || !isSettled || isLeaving) {
+    if (isLeaving || !isRegistered) {
         return std::nullopt;
     }
-    const auto ranked = rankByRendezvous("relay/" + settings.place.zone, names);
-    const auto first = ranked.begin();
-    const auto last = first + RelaysOfZone;
-    if (std::find(first, last, settings.name) != last) {
-        return std::nullopt;
+    return chooseRelay(settings.name, settings.place, view->vms, avoided);
+}
+
+// Tells followers of tables that have been lost for a while.
+void Control::State::dismissFollowers()
+{
+    for (const auto &[table, since] : storeLostAt) {
+        if (bootNow() - since > LossNotice) {
+            relay.dismiss(table);
+        }
     }
-    return ranked[incarnation % RelaysOfZone];
 }
 
 const TableFollower *Control::State::followerOf(const std::string &table) const
@@ -230,10 +238,10 @@
             } else {
                 vms.erase(name);
                 // Others took this VM to be gone; it fills no part of a rate until it is back.
-                isRegistered = isRegistered && name != settings.name;
-            }
-            if (relayToFollow()) {
-                relay.dismissAll();
+                if (name == settings.name) {
+                    isRegistered = false;
+                    ownRowVersion = 0;
+                }
             }
         } else if (row.key.starts_with(GroupKeyPrefix)) {
             takeGroupRow(row);
@@ -312,13 +320,19 @@
                           leaving};
     const auto &rows = fleetFollower->rows();
     const auto known = rows.find(key);
+    const uint64_t seen = known == rows.end() ? 0 : known->second.version;
     RowTransaction transaction;
-    transaction.conditions.push_back(
-        {FleetTable, key, known == rows.end() ? 0 : known->second.version});
+    transaction.conditions.push_back({FleetTable, key, std::max(seen, ownRowVersion)});
     transaction.writes.push_back({FleetTable, key, encodeVmRecord(record), 0, false});
-    store.change(
-        std::move(transaction), StoreTimeout,
-        [done = std::move(done)](const RowResult<uint64_t> &result) { done(result.has_value()); });
+    store.change(std::move(transaction), StoreTimeout,
+                 [this, record, done = std::move(done)](const RowResult<uint64_t> &result) {
+                     if (result) {
+                         ownRowVersion = *result;
+                         vms[record.name] = record;
+                         publishSoon();
+                     }
+                     done(result.has_value());
+                 });
 }
 
 void Control::State::registerVm()
@@ -333,9 +347,15 @@
         return;
     }
     isRegistering = true;
-    // The feed shows the row; a call whose outcome is unknown is simply made again.
-    storeVmRow(false,
-               [this](bool) { schedule(StoreRetryPause, [this] { isRegistering = false; }); });
+    // Where the outcome is unknown, the feed shows the row, or it is written again.
+    storeVmRow(false, [this](bool stored) {
+        if (stored) {
+            isRegistering = false;
+            registerVm();
+            return;
+        }
+        schedule(StoreRetryPause, [this] { isRegistering = false; });
+    });
 }
 
 } // namespace gentianplank
--- a/gentianplank/node/feed_relay.h
+++ b/gentianplank/node/feed_relay.h
@@ -1,13 +1,14 @@
-// Lets most VMs follow the store at second hand: a few VMs of a zone read its feeds, and tell the
-// others as soon as they know more themselves.
+// Lets most VMs follow the store at second hand: a VM tells those that follow it as soon as it
+// knows more itself. Who follows whom is decided by vm/relay_choice.h.
 //
-// A fleet's calls to the store then grow with its zones and not with its VMs. What a VM is told
-// carries the age of its proof, so that it may rely on it exactly as long as on its own.
+// What a VM is told carries the age of its proof, so that it may rely on it exactly as long as on
+// its own.
 #pragma once
 
 #include "gentianplank/peer/peer.pb.h"
 #include "gentianplank/store/store_clock.h"
 #include "gentianplank/store/table_follower.h"
+#include "gentianplank/vm/relay_choice.h"
 
 #include <functional>
 #include <map>
@@ -23,11 +24,12 @@
 public:
     using Reply = std::function<void(const peer::v1::Frame &)>;
 
-    // Answers when there is something new or a younger proof.
+    // Answers when there is something new or a younger proof; at once when this VM lost the store
+    // and the asker is not patient. `follower` is null for a table that is not followed.
     void ask(const peer::v1::FeedAsk &ask, const TableFollower *follower, Reply reply);
 
-    // Tells all who wait to ask the store: this VM follows another one itself.
-    void dismissAll();
+    // Tells those who wait, and are not patient, that this VM lost the store.
+    void dismiss(const std::string &table);
 
     // The follower of a table knows more, or has a younger proof.
     void advanced(const std::string &table, const TableFollower &follower);
@@ -47,14 +49,16 @@
 // What following at second hand needs.
 struct SecondHandEnvironment
 {
-    // The VM to follow; nothing when this VM should ask the store itself.
-    std::function<std::optional<std::string>()> relay;
+    // The VM to follow, none of `avoided`; nothing when this VM should ask the store itself.
+    std::function<std::optional<RelayChoice>(const std::set<std::string> &avoided)> relay;
     std::function<void(const std::string &vm, const peer::v1::Frame &)> send;
     Scheduler schedule;
 };
 
-// A store whose feeds come from another VM while there is one that answers. Reads and changes go to
-// the store itself. Not thread-safe.
+// A store whose rows come from another VM while there is one that answers, and from the store
+// itself otherwise. Where neither answers, other VMs are asked to tell when they can, so that an
+// outage of the store is not met with calls by all VMs. Changes go to the store itself. Not
+// thread-safe.
 class SecondHandRowStore : public RowStore
 {
 public:
--- a/gentianplank/node/traffic.cc
+++ b/gentianplank/node/traffic.cc
@@ -459,7 +459,9 @@
 {
     asio::post(m_state->ioContext, [state = m_state, vm, frame] {
         if (vm != state->settings.name) {
-            state->mesh->send(vm, frame);
+            if (!state->mesh->send(vm, frame)) {
+                state->handler.onPeerLost(vm);
+            }
             return;
         }
         state->handler.onControlRequest(frame, [state, vm](const peer::v1::Frame &reply) {
--- a/gentianplank/store/table_follower.cc
+++ b/gentianplank/store/table_follower.cc
@@ -71,7 +71,24 @@
         history.clear();
         version = firstPageVersion;
         prove(firstPageAt);
-        follow();
+        const bool isFirstReading = !hasBeenRead;
+        hasBeenRead = true;
+        const bool mayPause = isFirstReading && settings.firstPause;
+        followAfter(mayPause ? settings.firstPause() : Duration::zero());
+    }
+
+    void followAfter(Duration pauseBefore)
+    {
+        if (pauseBefore <= Duration::zero()) {
+            follow();
+            return;
+        }
+        auto weak = weak_from_this();
+        scheduler(pauseBefore, [weak] {
+            if (auto self = weak.lock()) {
+                self->follow();
+            }
+        });
     }
 
     void replaceAll()
@@ -118,17 +135,7 @@
         const bool hasChanges = !result->rows.empty();
         apply(std::move(result->rows));
         prove(at);
-        const Duration wait = hasChanges ? pauseAfterChanges() : Duration::zero();
-        if (wait > Duration::zero()) {
-            auto weak = weak_from_this();
-            scheduler(wait, [weak] {
-                if (auto self = weak.lock()) {
-                    self->follow();
-                }
-            });
-            return;
-        }
-        follow();
+        followAfter(hasChanges ? pauseAfterChanges() : Duration::zero());
     }
 
     // How long to let changes gather: they came right after the start, or more than a few within
@@ -217,6 +224,7 @@
     uint64_t version = 0;
     BootInstant provenAt{};
     bool isReachable = false;
+    bool hasBeenRead = false;
     BootInstant startedAt{};
     std::deque<BootInstant> changedAt;
     // Every change after `historyAfter`, in order.
--- a/gentianplank/store/table_follower.h
+++ b/gentianplank/store/table_follower.h
@@ -7,6 +7,7 @@
 
 #include "gentianplank/store/row_store.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -29,6 +30,8 @@
     // fleet that starts changes its tables many times a second.
     Duration startPace = std::chrono::milliseconds(500);
     Duration startTime = std::chrono::seconds(1);
+    // After its first reading, a table that will soon change a lot is left alone for this long.
+    std::function<Duration()> firstPause;
     Duration shortestPause = std::chrono::milliseconds(50);
     Duration longestPause = std::chrono::milliseconds(400);
 };
--- /dev/null
+++ b/gentianplank/vm/relay_choice_test.cc
@@ -0,0 +1,107 @@
+#include "gentianplank/vm/relay_choice.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <random>
+
+using namespace gentianplank;
+
+namespace {
+
+// Two regions of three zones each.
+std::vector<VmRecord> fleetOf(int vmsInZone)
+{
+    std::vector<VmRecord> vms;
+    for (const std::string region : {"r", "s"}) {
+        for (const std::string zone : {"a", "b", "c"}) {
+            for (int i = 0; i < vmsInZone; ++i) {
+                const std::string name = region + zone + std::to_string(i);
+                vms.push_back({name, "10.0.0.1:1", {region + zone, region}, 1, false});
+            }
+        }
+    }
+    return vms;
+}
+
+// Whom each VM follows; those that ask the store are left out.
+std::map<std::string, std::string> followed(const std::vector<VmRecord> &vms)
+{
+    std::map<std::string, std::string> result;
+    for (const VmRecord &it : vms) {
+        if (const auto relay = chooseRelay(it.name, it.place, vms, {})) {
+            result[it.name] = relay->vm;
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+// Pattern: calls to the store grew with the zones, twice each, and were the largest price of a day.
+BOOST_AUTO_TEST_CASE(oneVmOfARegionAsksTheStore)
+{
+    const auto vms = fleetOf(12);
+    const auto relays = followed(vms);
+    BOOST_TEST(vms.size() - relays.size() == 2U);
+    for (const VmRecord &it : vms) {
+        size_t hops = 0;
+        for (auto at = relays.find(it.name); at != relays.end(); at = relays.find(at->second)) {
+            ++hops;
+        }
+        BOOST_TEST(hops <= 2U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(fewVmsAskForThemselves)
+{
+    BOOST_TEST(followed(fleetOf(3)).empty());
+}
+
+// Two VMs that follow each other would both wait, also when their views of the fleet differ.
+BOOST_AUTO_TEST_CASE(nobodyFollowsInACircleWhateverIsKnown)
+{
+    const auto vms = fleetOf(12);
+    std::mt19937 random(7);
+    for (int round = 0; round < 50; ++round) {
+        std::map<std::string, std::string> relays;
+        for (const VmRecord &own : vms) {
+            std::vector<VmRecord> known;
+            std::set<std::string> avoided;
+            for (const VmRecord &it : vms) {
+                if (it.name == own.name || random() % 2 == 0) {
+                    known.push_back(it);
+                }
+                if (random() % 4 == 0) {
+                    avoided.insert(it.name);
+                }
+            }
+            if (const auto relay = chooseRelay(own.name, own.place, known, avoided)) {
+                BOOST_TEST(avoided.count(relay->vm) == 0U);
+                relays[own.name] = relay->vm;
+            }
+        }
+        for (const VmRecord &it : vms) {
+            size_t hops = 0;
+            for (auto at = relays.find(it.name); at != relays.end() && hops < vms.size();
+                 at = relays.find(at->second)) {
+                ++hops;
+            }
+            BOOST_TEST(hops < vms.size());
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(theNextStandsInForOneThatIsAvoidedOrLeaves)
+{
+    auto vms = fleetOf(12);
+    const VmRecord own = vms.front();
+    const auto first = chooseRelay(own.name, own.place, vms, {});
+    BOOST_REQUIRE(first);
+    const auto second = chooseRelay(own.name, own.place, vms, {first->vm});
+    BOOST_TEST((second != first));
+    for (VmRecord &it : vms) {
+        it.isLeaving = it.name == first->vm;
+    }
+    BOOST_TEST((chooseRelay(own.name, own.place, vms, {}) == second));
+}
