Serve an organisation's urgent statements first

Cause: a route's priority travelled with its statements, but the members' queues did not look at it. Within an organisation a lower figure goes first now; organisations share as before; who is overtaken and left without time is refused at once. Tests: fair_queue_test (three cases).

--- a/gentianplank/node/member_dispatcher.cc
+++ b/gentianplank/node/member_dispatcher.cc
@@ -32,7 +32,8 @@
         tell(job, unreachable(unreachableReason));
         return;
     }
-    const QueuedStatement queued{job->number, job->statement.organisation, 1, 1, job->deadline};
+    const QueuedStatement queued{job->number,   job->statement.organisation, 1, 1,
+                                 job->deadline, job->statement.priority};
     const auto taken = enqueue(queue, queued, now);
     if (!taken) {
         const bool isFull = taken.error().fault == QueueFault::Full;
@@ -48,7 +49,9 @@
         if (evicted != waiting.end()) {
             const JobPointer other = evicted->second;
             waiting.erase(evicted);
-            tell(other, notRun(ErrorCode::Busy, "the member's queue is full", ShortestHint));
+            const Duration wait = expectedWait(queue, other->statement.organisation, 1);
+            tell(other, notRun(ErrorCode::Busy, "others in the member's queue leave it no time",
+                               std::max(wait, ShortestHint)));
         }
     }
     pump();
--- a/gentianplank/organisation/fair_queue.cc
+++ b/gentianplank/organisation/fair_queue.cc
@@ -48,7 +48,21 @@
         [](const auto &a, const auto &b) { return lengthOf(a.second) < lengthOf(b.second); });
 }
 
-uint64_t evictNewest(FairQueue &queue, FairLane &lane)
+bool goesBefore(const QueuedStatement &a, const QueuedStatement &b)
+{
+    return a.priority < b.priority;
+}
+
+// How many of a lane's part are not of a later priority.
+double countUpTo(const std::deque<QueuedStatement> &part, uint32_t priority)
+{
+    const auto end = std::upper_bound(
+        part.begin(), part.end(), priority,
+        [](uint32_t figure, const QueuedStatement &it) { return figure < it.priority; });
+    return static_cast<double>(end - part.begin());
+}
+
+uint64_t evictLast(FairQueue &queue, FairLane &lane)
 {
     auto &part = lane.bulk.empty() ? lane.small : lane.bulk;
     const uint64_t number = part.back().number;
@@ -102,7 +116,8 @@
     return queue;
 }
 
-Duration expectedWait(const FairQueue &queue, const std::string &organisation, uint32_t weight)
+Duration expectedWait(const FairQueue &queue, const std::string &organisation, uint32_t weight,
+                      uint32_t priority)
 {
     double weights = weight;
     for (const auto &[name, lane] : queue.lanes) {
@@ -115,8 +130,8 @@
         return Duration::zero();
     }
     const FairLane &lane = it->second;
-    const double work = queue.smallMs * static_cast<double>(lane.small.size()) +
-                        queue.bulkMs * static_cast<double>(lane.bulk.size());
+    const double work = queue.smallMs * countUpTo(lane.small, priority) +
+                        queue.bulkMs * countUpTo(lane.bulk, priority);
     const double share = std::max<double>(1, queue.slots) * weight / weights;
     return fromMs(work / share);
 }
@@ -126,7 +141,8 @@
 {
     const auto known = queue.lanes.find(statement.organisation);
     const size_t length = known == queue.lanes.end() ? 0 : lengthOf(known->second);
-    const Duration wait = expectedWait(queue, statement.organisation, statement.weight);
+    const Duration wait =
+        expectedWait(queue, statement.organisation, statement.weight, statement.priority);
     if (queue.longest == 0 || length >= std::max<size_t>(1, queue.longest / LaneDivisor)) {
         return tl::unexpected(QueueRefusal{QueueFault::Full, hintFor(wait)});
     }
@@ -139,7 +155,7 @@
         if (lengthOf(longest) <= length + 1) {
             return tl::unexpected(QueueRefusal{QueueFault::Full, hintFor(wait)});
         }
-        evicted = evictNewest(queue, longest);
+        evicted = evictLast(queue, longest);
     }
     dropIdleLanes(queue);
     FairLane &lane = queue.lanes[statement.organisation];
@@ -148,8 +164,19 @@
         const double credit = IdleCredit * queue.smallMs / lane.weight;
         lane.tag = std::max(lane.tag, queue.virtualTime - credit);
     }
-    (isBulk(statement) ? lane.bulk : lane.small).push_back(statement);
+    auto &part = isBulk(statement) ? lane.bulk : lane.small;
+    const auto place = std::upper_bound(part.begin(), part.end(), statement, goesBefore);
+    const bool overtakes = place != part.end();
+    part.insert(place, statement);
     ++queue.waiting;
+    if (overtakes && !evicted) {
+        const Duration all = expectedWait(queue, statement.organisation, lane.weight);
+        if (now + all > part.back().deadline) {
+            evicted = part.back().number;
+            part.pop_back();
+            --queue.waiting;
+        }
+    }
     return evicted;
 }
 
--- a/gentianplank/organisation/fair_queue.h
+++ b/gentianplank/organisation/fair_queue.h
@@ -37,6 +37,8 @@
     // Relative to a small statement.
     double cost = 1;
     Instant deadline{};
+    // Within its organisation, a lower figure goes first.
+    uint32_t priority = 0;
 };
 
 enum class QueueFault {
@@ -89,8 +91,9 @@
 // At most `longest` statements wait, and at most half of them of one organisation.
 FairQueue makeFairQueue(size_t longest);
 
-// Takes a statement in. Returns the number of one that must be refused as Full in its place: the
-// newest of the longest lane, when the queue is full and the statement's lane is shorter.
+// Takes a statement in. Returns the number of one that must be refused in its place: the last of
+// the longest lane, when the queue is full and the statement's lane is shorter; or the last of its
+// own lane, when the statement goes before it and leaves it too little time.
 tl::expected<std::optional<uint64_t>, QueueRefusal>
 enqueue(FairQueue &queue, const QueuedStatement &statement, Instant now);
 
@@ -106,7 +109,9 @@
 // Removes the waiting statements whose deadline has passed and returns their numbers.
 std::vector<uint64_t> expire(FairQueue &queue, Instant now);
 
-// Estimates how long a new statement of the organisation would wait.
-Duration expectedWait(const FairQueue &queue, const std::string &organisation, uint32_t weight);
+// Estimates how long a new statement of the organisation would wait. Those of a later priority are
+// not waited for.
+Duration expectedWait(const FairQueue &queue, const std::string &organisation, uint32_t weight,
+                      uint32_t priority = UINT32_MAX);
 
 } // namespace gentianplank
--- a/gentianplank/organisation/fair_queue_test.cc
+++ b/gentianplank/organisation/fair_queue_test.cc
@@ -157,4 +157,58 @@
     BOOST_TEST(expire(queue, soon).size() == 1U);
 }
 
+// Pattern: what the operator calls urgent waited behind what is less urgent.
+BOOST_AUTO_TEST_CASE(withinAnOrganisationTheUrgentGoesFirst)
+{
+    FairQueue queue = makeFairQueue(100);
+    queue.slots = 1;
+    for (uint64_t i = 1; i <= 4; ++i) {
+        BOOST_REQUIRE(enqueue(queue, {i, "a", 1, 1, Start + Forever, i % 2 == 0 ? 1U : 2U}, Start));
+    }
+    BOOST_REQUIRE(enqueue(queue, {5, "a", 1, 1, Start + Forever, 0}, Start));
+    std::vector<uint64_t> order;
+    while (const auto number = next(queue, Start)) {
+        order.push_back(*number);
+        finish(queue, *number, Start);
+    }
+    const std::vector<uint64_t> expected{5, 2, 4, 1, 3};
+    BOOST_TEST(order == expected, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(priorityTakesNothingFromAnotherOrganisation)
+{
+    FairQueue queue = makeFairQueue(1000);
+    queue.slots = 1;
+    std::map<std::string, int> served;
+    for (uint64_t i = 0; i < 200; ++i) {
+        BOOST_REQUIRE(enqueue(queue, {2 * i, "urgent", 1, 1, Start + Forever, 0}, Start));
+        BOOST_REQUIRE(enqueue(queue, {2 * i + 1, "usual", 1, 1, Start + Forever, 2}, Start));
+    }
+    for (int i = 0; i < 200; ++i) {
+        const auto number = next(queue, Start);
+        BOOST_REQUIRE(number);
+        ++served[*number % 2 == 0 ? "urgent" : "usual"];
+        finish(queue, *number, Start + std::chrono::milliseconds(1));
+    }
+    BOOST_TEST(served["urgent"] >= 95);
+    BOOST_TEST(served["usual"] >= 95);
+}
+
+// Who is overtaken so that its time runs out is refused at once, not when its time is over.
+BOOST_AUTO_TEST_CASE(anOvertakenStatementWithoutTimeIsRefusedAtOnce)
+{
+    FairQueue queue = makeFairQueue(100);
+    queue.slots = 1;
+    queue.smallMs = 10;
+    const Instant soon = Start + std::chrono::milliseconds(25);
+    BOOST_REQUIRE(enqueue(queue, {1, "a", 1, 1, soon, 2}, Start));
+    BOOST_REQUIRE(enqueue(queue, {2, "a", 1, 1, soon, 2}, Start));
+    const auto first = enqueue(queue, {3, "a", 1, 1, soon, 0}, Start);
+    BOOST_REQUIRE(first);
+    BOOST_TEST((*first == std::optional<uint64_t>(2)));
+    BOOST_TEST(queue.waiting == 2U);
+    // The urgent one itself waits for nobody that comes after it.
+    BOOST_TEST((expectedWait(queue, "a", 1, 0) < expectedWait(queue, "a", 1)));
+}
+
 } // namespace gentianplank
