Part the control and entry threads of both faces; say what of a statement's time was the proxy's

daemon/ held 5,400 lines: daemon/control and daemon/entry now; node/control and node/traffic likewise; peer.proto and its generated code in peer/proto. Moves only, no behaviour. A statement's log line and a histogram tell what was added to the member's own time (added_us), so that a late answer's cause is one field away.

--- a/gentianplank/daemon/admin_service.h
+++ b/gentianplank/daemon/admin_service.h
@@ -1,8 +1,8 @@
 // The administration contract.
 #pragma once
 
-#include "gentianplank/daemon/configuration_controller.h"
-#include "gentianplank/daemon/fleet_boards.h"
+#include "gentianplank/daemon/control/configuration_controller.h"
+#include "gentianplank/daemon/control/fleet_boards.h"
 #include "gentianplank/proto/admin.grpc.pb.h"
 #include "gentianplank/target/group_board.h"
 
--- a/gentianplank/daemon/configuration_controller.cc
+++ b/gentianplank/daemon/control/configuration_controller.cc
@@ -1,7 +1,7 @@
-#include "gentianplank/daemon/configuration_controller.h"
+#include "gentianplank/daemon/control/configuration_controller.h"
 
 #include "gentianplank/base/log.h"
-#include "gentianplank/daemon/control_call.h"
+#include "gentianplank/daemon/control/control_call.h"
 #include "gentianplank/vm/member_log.h"
 
 #include <absl/strings/str_join.h>
--- a/gentianplank/daemon/control_call.h
+++ b/gentianplank/daemon/control/control_call.h
@@ -3,7 +3,7 @@
 //     auto reply = askControl(loop, [&] { return state.answer(request); }, timeout);
 #pragma once
 
-#include "gentianplank/daemon/control_loop.h"
+#include "gentianplank/daemon/control/control_loop.h"
 
 #include <future>
 #include <memory>
--- a/gentianplank/daemon/control_loop.cc
+++ b/gentianplank/daemon/control/control_loop.cc
@@ -1,4 +1,4 @@
-#include "gentianplank/daemon/control_loop.h"
+#include "gentianplank/daemon/control/control_loop.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
--- a/gentianplank/daemon/failover_controller.cc
+++ b/gentianplank/daemon/control/failover_controller.cc
@@ -1,4 +1,4 @@
-#include "gentianplank/daemon/failover_controller.h"
+#include "gentianplank/daemon/control/failover_controller.h"
 
 #include "gentianplank/base/log.h"
 #include "gentianplank/proto/target.grpc.pb.h"
--- a/gentianplank/daemon/failover_controller.h
+++ b/gentianplank/daemon/control/failover_controller.h
@@ -5,8 +5,8 @@
 #pragma once
 
 #include "gentianplank/base/refusal.h"
-#include "gentianplank/daemon/control_loop.h"
-#include "gentianplank/daemon/fleet_boards.h"
+#include "gentianplank/daemon/control/control_loop.h"
+#include "gentianplank/daemon/control/fleet_boards.h"
 #include "gentianplank/proto/admin.pb.h"
 #include "gentianplank/proto/vm.pb.h"
 #include "gentianplank/store/channel.h"
--- a/gentianplank/daemon/fleet_boards.cc
+++ b/gentianplank/daemon/control/fleet_boards.cc
@@ -1,4 +1,4 @@
-#include "gentianplank/daemon/fleet_boards.h"
+#include "gentianplank/daemon/control/fleet_boards.h"
 
 namespace gentianplank {
 
--- a/gentianplank/daemon/group_controller.cc
+++ b/gentianplank/daemon/control/group_controller.cc
@@ -1,7 +1,7 @@
-#include "gentianplank/daemon/group_controller.h"
+#include "gentianplank/daemon/control/group_controller.h"
 
 #include "gentianplank/base/log.h"
-#include "gentianplank/daemon/failover_controller.h"
+#include "gentianplank/daemon/control/failover_controller.h"
 #include "gentianplank/proto/target.grpc.pb.h"
 #include "gentianplank/target/failover.h"
 
--- a/gentianplank/daemon/group_controller.h
+++ b/gentianplank/daemon/control/group_controller.h
@@ -6,8 +6,8 @@
 //     controller.updateTargets();              // on the control thread, after each change
 #pragma once
 
-#include "gentianplank/daemon/control_loop.h"
-#include "gentianplank/daemon/fleet_boards.h"
+#include "gentianplank/daemon/control/control_loop.h"
+#include "gentianplank/daemon/control/fleet_boards.h"
 #include "gentianplank/store/channel.h"
 #include "gentianplank/target/group_board.h"
 
--- a/gentianplank/daemon/membership_controller.cc
+++ b/gentianplank/daemon/control/membership_controller.cc
@@ -1,7 +1,7 @@
-#include "gentianplank/daemon/membership_controller.h"
+#include "gentianplank/daemon/control/membership_controller.h"
 
 #include "gentianplank/base/log.h"
-#include "gentianplank/daemon/control_call.h"
+#include "gentianplank/daemon/control/control_call.h"
 #include "gentianplank/vm/failure_detector.h"
 #include "gentianplank/vm/member_change.h"
 #include "gentianplank/vm/permissions.h"
--- a/gentianplank/daemon/membership_controller.h
+++ b/gentianplank/daemon/control/membership_controller.h
@@ -5,9 +5,9 @@
 //     controller.start();
 #pragma once
 
-#include "gentianplank/daemon/control_loop.h"
-#include "gentianplank/daemon/fleet_boards.h"
-#include "gentianplank/daemon/peer_clients.h"
+#include "gentianplank/daemon/control/control_loop.h"
+#include "gentianplank/daemon/control/fleet_boards.h"
+#include "gentianplank/daemon/control/peer_clients.h"
 #include "gentianplank/proto/vm.pb.h"
 #include "gentianplank/store/table_store.h"
 #include "gentianplank/vm/standing.h"
--- a/gentianplank/daemon/peer_clients.cc
+++ b/gentianplank/daemon/control/peer_clients.cc
@@ -1,4 +1,4 @@
-#include "gentianplank/daemon/peer_clients.h"
+#include "gentianplank/daemon/control/peer_clients.h"
 
 #include "gentianplank/proto/vm.grpc.pb.h"
 
--- a/gentianplank/daemon/peer_clients.h
+++ b/gentianplank/daemon/control/peer_clients.h
@@ -4,7 +4,7 @@
 //     peers.heartbeat(address, request, timeout, [](const auto &reply) { ... });
 #pragma once
 
-#include "gentianplank/daemon/control_loop.h"
+#include "gentianplank/daemon/control/control_loop.h"
 #include "gentianplank/proto/vm.pb.h"
 #include "gentianplank/store/channel.h"
 
--- a/gentianplank/daemon/rate_controller.cc
+++ b/gentianplank/daemon/control/rate_controller.cc
@@ -1,6 +1,6 @@
-#include "gentianplank/daemon/rate_controller.h"
+#include "gentianplank/daemon/control/rate_controller.h"
 
-#include "gentianplank/daemon/rate_messages.h"
+#include "gentianplank/daemon/control/rate_messages.h"
 #include "gentianplank/proto/vm.grpc.pb.h"
 
 #include <grpcpp/client_context.h>
--- a/gentianplank/daemon/rate_controller.h
+++ b/gentianplank/daemon/control/rate_controller.h
@@ -7,8 +7,8 @@
 //     vm::v1::LendReply reply = controller.lend(request);  // on the peer service's threads
 #pragma once
 
-#include "gentianplank/daemon/control_loop.h"
-#include "gentianplank/daemon/fleet_boards.h"
+#include "gentianplank/daemon/control/control_loop.h"
+#include "gentianplank/daemon/control/fleet_boards.h"
 #include "gentianplank/organisation/rate_gate.h"
 #include "gentianplank/proto/vm.pb.h"
 #include "gentianplank/store/channel.h"
--- a/gentianplank/daemon/rate_messages.cc
+++ b/gentianplank/daemon/control/rate_messages.cc
@@ -1,4 +1,4 @@
-#include "gentianplank/daemon/rate_messages.h"
+#include "gentianplank/daemon/control/rate_messages.h"
 
 namespace gentianplank {
 
--- a/gentianplank/daemon/daemon_metrics.h
+++ b/gentianplank/daemon/daemon_metrics.h
@@ -1,7 +1,7 @@
 // The daemon's gauges: what it knows of the fleet at the moment of a collection.
 #pragma once
 
-#include "gentianplank/daemon/fleet_boards.h"
+#include "gentianplank/daemon/control/fleet_boards.h"
 #include "gentianplank/metrics/metrics.h"
 #include "gentianplank/target/group_board.h"
 
--- a/gentianplank/daemon/caller_service.cc
+++ b/gentianplank/daemon/entry/caller_service.cc
@@ -1,7 +1,7 @@
-#include "gentianplank/daemon/caller_service.h"
+#include "gentianplank/daemon/entry/caller_service.h"
 
 #include "gentianplank/base/answer_digest.h"
-#include "gentianplank/daemon/peer_runner.h"
+#include "gentianplank/daemon/entry/peer_runner.h"
 #include "gentianplank/session/session_token.h"
 #include "gentianplank/statement/route_choice.h"
 
--- a/gentianplank/daemon/caller_service.h
+++ b/gentianplank/daemon/entry/caller_service.h
@@ -1,7 +1,7 @@
 // The callers' contract: checks each request at the entry and hands it to the router.
 #pragma once
 
-#include "gentianplank/daemon/entry.h"
+#include "gentianplank/daemon/entry/entry.h"
 #include "gentianplank/proto/caller.grpc.pb.h"
 #include "gentianplank/statement/statement.h"
 
--- a/gentianplank/daemon/entry.cc
+++ b/gentianplank/daemon/entry/entry.cc
@@ -1,4 +1,4 @@
-#include "gentianplank/daemon/entry.h"
+#include "gentianplank/daemon/entry/entry.h"
 
 #include "gentianplank/base/digest.h"
 
--- a/gentianplank/daemon/entry.h
+++ b/gentianplank/daemon/entry/entry.h
@@ -4,7 +4,7 @@
 //     if (!entered) { return toStatus(entered.error()); }
 #pragma once
 
-#include "gentianplank/daemon/fleet_boards.h"
+#include "gentianplank/daemon/control/fleet_boards.h"
 #include "gentianplank/organisation/rate_gate.h"
 
 #include <tl/expected.hpp>
--- a/gentianplank/daemon/metered_runner.cc
+++ b/gentianplank/daemon/entry/metered_runner.cc
@@ -1,4 +1,4 @@
-#include "gentianplank/daemon/metered_runner.h"
+#include "gentianplank/daemon/entry/metered_runner.h"
 
 namespace gentianplank {
 
--- a/gentianplank/daemon/peer_runner.cc
+++ b/gentianplank/daemon/entry/peer_runner.cc
@@ -1,4 +1,4 @@
-#include "gentianplank/daemon/peer_runner.h"
+#include "gentianplank/daemon/entry/peer_runner.h"
 
 #include "gentianplank/proto/vm.grpc.pb.h"
 
--- a/gentianplank/daemon/peer_service.cc
+++ b/gentianplank/daemon/entry/peer_service.cc
@@ -1,6 +1,6 @@
-#include "gentianplank/daemon/peer_service.h"
+#include "gentianplank/daemon/entry/peer_service.h"
 
-#include "gentianplank/daemon/peer_runner.h"
+#include "gentianplank/daemon/entry/peer_runner.h"
 
 #include <grpcpp/server_context.h>
 
--- a/gentianplank/daemon/router.cc
+++ b/gentianplank/daemon/entry/router.cc
@@ -1,6 +1,6 @@
-#include "gentianplank/daemon/router.h"
+#include "gentianplank/daemon/entry/router.h"
 
-#include "gentianplank/daemon/peer_runner.h"
+#include "gentianplank/daemon/entry/peer_runner.h"
 #include "gentianplank/statement/answer_assembly.h"
 #include "gentianplank/statement/retry_budget.h"
 #include "gentianplank/statement/route_choice.h"
--- a/gentianplank/daemon/router.h
+++ b/gentianplank/daemon/entry/router.h
@@ -7,7 +7,7 @@
 //     auto answer = router.execute(request);
 #pragma once
 
-#include "gentianplank/daemon/fleet_boards.h"
+#include "gentianplank/daemon/control/fleet_boards.h"
 #include "gentianplank/statement/statement.h"
 #include "gentianplank/store/channel.h"
 #include "gentianplank/target/group_board.h"
--- a/gentianplank/daemon/router_test.cc
+++ b/gentianplank/daemon/router_test.cc
@@ -1,7 +1,7 @@
-#include "gentianplank/daemon/router.h"
+#include "gentianplank/daemon/entry/router.h"
 
 #include "gentianplank/base/answer_digest.h"
-#include "gentianplank/daemon/peer_service.h"
+#include "gentianplank/daemon/entry/peer_service.h"
 #include "gentianplank/daemon/testing/fleet_fixture.h"
 
 #include <boost/test/unit_test.hpp>
--- a/gentianplank/node/control.h
+++ b/gentianplank/node/control/control.h
@@ -5,7 +5,7 @@
 //     control.start();
 #pragma once
 
-#include "gentianplank/node/traffic.h"
+#include "gentianplank/node/traffic/traffic.h"
 #include "gentianplank/settings/entry_vm_settings.h"
 
 #include <functional>
--- a/gentianplank/node/control_duty.cc
+++ b/gentianplank/node/control/control_duty.cc
@@ -1,4 +1,4 @@
-#include "gentianplank/node/control_state.h"
+#include "gentianplank/node/control/control_state.h"
 
 #include "gentianplank/base/event_log.h"
 #include "gentianplank/base/rendezvous.h"
--- a/gentianplank/node/control_state.h
+++ b/gentianplank/node/control/control_state.h
@@ -3,11 +3,11 @@
 // are gone) and control_groups.cc (the groups' primaries).
 #pragma once
 
-#include "gentianplank/node/control.h"
+#include "gentianplank/node/control/control.h"
 
-#include "gentianplank/node/feed_relay.h"
-#include "gentianplank/node/member_probe.h"
-#include "gentianplank/node/primary_change.h"
+#include "gentianplank/node/control/feed_relay.h"
+#include "gentianplank/node/control/member_probe.h"
+#include "gentianplank/node/control/primary_change.h"
 #include "gentianplank/platform/http_row_store.h"
 #include "gentianplank/store/table_follower.h"
 #include "gentianplank/vm/absence.h"
--- a/gentianplank/node/feed_relay.cc
+++ b/gentianplank/node/control/feed_relay.cc
@@ -1,4 +1,4 @@
-#include "gentianplank/node/feed_relay.h"
+#include "gentianplank/node/control/feed_relay.h"
 
 #include "gentianplank/base/compression.h"
 #include "gentianplank/base/event_log.h"
--- a/gentianplank/node/feed_relay.h
+++ b/gentianplank/node/control/feed_relay.h
@@ -5,7 +5,7 @@
 // its own.
 #pragma once
 
-#include "gentianplank/peer/peer.pb.h"
+#include "gentianplank/peer/proto/peer.pb.h"
 #include "gentianplank/store/store_clock.h"
 #include "gentianplank/store/table_follower.h"
 #include "gentianplank/vm/relay_choice.h"
--- a/gentianplank/node/feed_relay_test.cc
+++ b/gentianplank/node/control/feed_relay_test.cc
@@ -1,4 +1,4 @@
-#include "gentianplank/node/feed_relay.h"
+#include "gentianplank/node/control/feed_relay.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/gentianplank/node/member_probe.cc
+++ b/gentianplank/node/control/member_probe.cc
@@ -1,4 +1,4 @@
-#include "gentianplank/node/member_probe.h"
+#include "gentianplank/node/control/member_probe.h"
 
 namespace gentianplank {
 
--- a/gentianplank/node/member_probe.h
+++ b/gentianplank/node/control/member_probe.h
@@ -3,7 +3,7 @@
 //     probeMember(ioContext, entry, [](MemberProbe probe) { ... });
 #pragma once
 
-#include "gentianplank/node/member_link.h"
+#include "gentianplank/node/traffic/member_link.h"
 #include "gentianplank/target/member_entry.h"
 
 #include <functional>
--- a/gentianplank/node/primary_change.cc
+++ b/gentianplank/node/control/primary_change.cc
@@ -1,4 +1,4 @@
-#include "gentianplank/node/primary_change.h"
+#include "gentianplank/node/control/primary_change.h"
 
 #include "gentianplank/base/event_log.h"
 
--- a/gentianplank/node/primary_change.h
+++ b/gentianplank/node/control/primary_change.h
@@ -6,8 +6,8 @@
 // A change that another holder began is taken up at step 2.
 #pragma once
 
-#include "gentianplank/node/fleet_view.h"
-#include "gentianplank/node/member_probe.h"
+#include "gentianplank/node/control/member_probe.h"
+#include "gentianplank/node/traffic/fleet_view.h"
 #include "gentianplank/platform/promotion_call.h"
 #include "gentianplank/store/row_store.h"
 
--- a/gentianplank/node/entry_test.cc
+++ b/gentianplank/node/entry_test.cc
@@ -1,6 +1,6 @@
 // The whole path over loopback: a caller, two entry VMs, a store and a group of members.
-#include "gentianplank/node/control.h"
-#include "gentianplank/node/traffic.h"
+#include "gentianplank/node/control/control.h"
+#include "gentianplank/node/traffic/traffic.h"
 #include "gentianplank/standin/http_table_store.h"
 #include "gentianplank/standin/text_member.h"
 
--- a/gentianplank/node/main.cc
+++ b/gentianplank/node/main.cc
@@ -1,8 +1,8 @@
 // gentianplank-entry: the proxy on an entry VM of the users' platform.
 
 #include "gentianplank/base/event_log.h"
-#include "gentianplank/node/control.h"
-#include "gentianplank/node/traffic.h"
+#include "gentianplank/node/control/control.h"
+#include "gentianplank/node/traffic/traffic.h"
 #include "gentianplank/platform/names.h"
 #include "gentianplank/platform/process_settings.h"
 
--- a/gentianplank/node/caller_session.cc
+++ b/gentianplank/node/traffic/caller_session.cc
@@ -1,4 +1,4 @@
-#include "gentianplank/node/caller_session.h"
+#include "gentianplank/node/traffic/caller_session.h"
 
 #include "gentianplank/base/event_log.h"
 #include "gentianplank/http/endpoint.h"
@@ -345,9 +345,10 @@
                            {"member", result.member},
                            {"epoch", result.epoch},
                            {"took_ms", toMilliseconds(took)},
+                           {"added_us", (took - outcome.atMember).count()},
                            {"fate", static_cast<int>(outcome.fate)},
                            {"outcome", succeeded ? "done" : outcome.reason}});
-    environment.report({succeeded, outcome.code, took});
+    environment.report({succeeded, outcome.code, took, took - outcome.atMember});
     applyAnswer(session, step, {succeeded, outcome.state});
     if (step.continuesTransaction && outcome.fate != StatementFate::Answered) {
         rollBackAtMember();
@@ -393,7 +394,8 @@
                          {"organisation", organisation},
                          {"why", reason},
                          {"retry_after_ms", toMilliseconds(retryAfter)}});
-    environment.report({false, code, steadyNow() - queryAtSteady});
+    const Duration took = steadyNow() - queryAtSteady;
+    environment.report({false, code, took, took});
     if (step.continuesTransaction) {
         rollBackAtMember();
     }
--- a/gentianplank/node/caller_session.h
+++ b/gentianplank/node/traffic/caller_session.h
@@ -4,9 +4,9 @@
 //     session->start();
 #pragma once
 
-#include "gentianplank/node/fleet_view.h"
-#include "gentianplank/node/rate_exchange.h"
-#include "gentianplank/node/statement_router.h"
+#include "gentianplank/node/traffic/fleet_view.h"
+#include "gentianplank/node/traffic/rate_exchange.h"
+#include "gentianplank/node/traffic/statement_router.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -21,6 +21,8 @@
     bool succeeded = false;
     std::optional<ErrorCode> code;
     Duration took{0};
+    // Of it, what was not the member's own answer and the way to it.
+    Duration added{0};
 };
 
 // Bytes that callers sent and that are not handled yet, over all sessions of the VM.
--- a/gentianplank/node/dispatch_table.cc
+++ b/gentianplank/node/traffic/dispatch_table.cc
@@ -1,4 +1,4 @@
-#include "gentianplank/node/dispatch_table.h"
+#include "gentianplank/node/traffic/dispatch_table.h"
 
 namespace gentianplank {
 
--- a/gentianplank/node/dispatch_table.h
+++ b/gentianplank/node/traffic/dispatch_table.h
@@ -5,7 +5,7 @@
 //     for (const VmRecord *vm : table.dispatchersOf("i-7")) { ... }
 #pragma once
 
-#include "gentianplank/node/fleet_view.h"
+#include "gentianplank/node/traffic/fleet_view.h"
 
 #include <span>
 #include <unordered_map>
--- a/gentianplank/node/peer_messages.cc
+++ b/gentianplank/node/traffic/forwarded_statement.cc
@@ -1,4 +1,4 @@
-#include "gentianplank/node/peer_mesh.h"
+#include "gentianplank/node/traffic/peer_mesh.h"
 
 namespace gentianplank {
 
@@ -101,6 +101,7 @@
     }
     wire->set_retry_after_ms(toMs(outcome.retryAfter));
     wire->set_unreachable(outcome.isUnreachable);
+    wire->set_at_member_us(static_cast<uint32_t>(outcome.atMember.count()));
     wire->mutable_load()->set_expected_wait_ms(toMs(outcome.expectedWait));
 }
 
@@ -119,6 +120,7 @@
     }
     outcome.retryAfter = fromMs(wire.retry_after_ms());
     outcome.isUnreachable = wire.unreachable();
+    outcome.atMember = Duration(wire.at_member_us());
     outcome.expectedWait = fromMs(wire.load().expected_wait_ms());
     return outcome;
 }
--- a/gentianplank/node/forwarded_statement.h
+++ b/gentianplank/node/traffic/forwarded_statement.h
@@ -77,6 +77,8 @@
     bool isUnreachable = false;
     // What a new statement would wait for at the member.
     Duration expectedWait{0};
+    // From the statement's sending to the member until its answer; zero when it was not sent.
+    Duration atMember{0};
 };
 
 using OutcomeHandler = std::function<void(StatementOutcome)>;
--- a/gentianplank/node/member_dispatcher.cc
+++ b/gentianplank/node/traffic/member_dispatcher.cc
@@ -1,4 +1,4 @@
-#include "gentianplank/node/member_dispatcher_state.h"
+#include "gentianplank/node/traffic/member_dispatcher_state.h"
 
 #include "gentianplank/base/event_log.h"
 
--- a/gentianplank/node/member_dispatcher.h
+++ b/gentianplank/node/traffic/member_dispatcher.h
@@ -5,7 +5,7 @@
 //     dispatcher->execute(statement, onOutcome);
 #pragma once
 
-#include "gentianplank/node/forwarded_statement.h"
+#include "gentianplank/node/traffic/forwarded_statement.h"
 #include "gentianplank/target/member_entry.h"
 #include "gentianplank/target/position_history.h"
 
--- a/gentianplank/node/member_dispatcher_links.cc
+++ b/gentianplank/node/traffic/member_dispatcher_links.cc
@@ -1,4 +1,4 @@
-#include "gentianplank/node/member_dispatcher_state.h"
+#include "gentianplank/node/traffic/member_dispatcher_state.h"
 
 #include "gentianplank/base/event_log.h"
 #include "gentianplank/http/endpoint.h"
@@ -309,6 +309,7 @@
                                           {*reply.position, job->sentAtBoot});
         }
     }
+    outcome.atMember = job->isSent ? lastReplyAt - job->sentAt : Duration::zero();
     settleTransaction(job, reply);
     finish(job, std::move(outcome));
 }
--- a/gentianplank/node/member_dispatcher_state.h
+++ b/gentianplank/node/traffic/member_dispatcher_state.h
@@ -3,9 +3,9 @@
 // (connections, and the steps of a statement on one).
 #pragma once
 
-#include "gentianplank/node/member_dispatcher.h"
+#include "gentianplank/node/traffic/member_dispatcher.h"
 
-#include "gentianplank/node/member_link.h"
+#include "gentianplank/node/traffic/member_link.h"
 #include "gentianplank/organisation/fair_queue.h"
 
 #include <deque>
--- a/gentianplank/node/member_dispatcher_test.cc
+++ b/gentianplank/node/traffic/member_dispatcher_test.cc
@@ -1,4 +1,4 @@
-#include "gentianplank/node/member_dispatcher.h"
+#include "gentianplank/node/traffic/member_dispatcher.h"
 #include "gentianplank/standin/text_member.h"
 
 #include <boost/test/unit_test.hpp>
--- a/gentianplank/node/member_link.cc
+++ b/gentianplank/node/traffic/member_link.cc
@@ -1,4 +1,4 @@
-#include "gentianplank/node/member_link.h"
+#include "gentianplank/node/traffic/member_link.h"
 
 #include "gentianplank/http/endpoint.h"
 
--- a/gentianplank/node/node_metrics.cc
+++ b/gentianplank/node/traffic/node_metrics.cc
@@ -1,4 +1,4 @@
-#include "gentianplank/node/node_metrics.h"
+#include "gentianplank/node/traffic/node_metrics.h"
 
 #include "gentianplank/base/event_log.h"
 
@@ -48,6 +48,12 @@
                                          .Help("Time from a statement's arrival to its outcome")
                                          .Register(registry)
                                          .Add({}, LatencyBuckets);
+    prometheus::Histogram &added =
+        prometheus::BuildHistogram()
+            .Name("gentianplank_statement_added_seconds")
+            .Help("Time of a statement that is not the member's answer and the way to it")
+            .Register(registry)
+            .Add({}, LatencyBuckets);
     prometheus::Counter &connections = prometheus::BuildCounter()
                                            .Name("gentianplank_member_connections_total")
                                            .Help("Connections opened to members")
@@ -78,6 +84,7 @@
 void NodeMetrics::count(const StatementReport &report)
 {
     m_state->latency.Observe(static_cast<double>(report.took.count()) * SecondsPerMicrosecond);
+    m_state->added.Observe(static_cast<double>(report.added.count()) * SecondsPerMicrosecond);
     if (report.succeeded) {
         m_state->succeeded.Increment();
     } else if (report.code && isPromise(*report.code)) {
--- a/gentianplank/node/node_metrics.h
+++ b/gentianplank/node/traffic/node_metrics.h
@@ -1,7 +1,7 @@
 // Counters and histograms of an entry VM, by prometheus-cpp.
 #pragma once
 
-#include "gentianplank/node/caller_session.h"
+#include "gentianplank/node/traffic/caller_session.h"
 
 #include <memory>
 #include <string>
--- a/gentianplank/node/peer_mesh.cc
+++ b/gentianplank/node/traffic/peer_mesh.cc
@@ -1,4 +1,4 @@
-#include "gentianplank/node/peer_mesh.h"
+#include "gentianplank/node/traffic/peer_mesh.h"
 
 #include "gentianplank/base/event_log.h"
 #include "gentianplank/http/endpoint.h"
--- a/gentianplank/node/peer_mesh.h
+++ b/gentianplank/node/traffic/peer_mesh.h
@@ -4,7 +4,7 @@
 //     if (mesh.isReachable("vm-2")) { ... }
 #pragma once
 
-#include "gentianplank/node/forwarded_statement.h"
+#include "gentianplank/node/traffic/forwarded_statement.h"
 #include "gentianplank/peer/peer_link.h"
 #include "gentianplank/vm/fleet_records.h"
 
--- a/gentianplank/node/rate_exchange.h
+++ b/gentianplank/node/traffic/rate_exchange.h
@@ -4,8 +4,8 @@
 //     exchange.admit("dredge-co", [](bool isAdmitted, Duration retryAfter) { ... });
 #pragma once
 
-#include "gentianplank/node/fleet_view.h"
-#include "gentianplank/peer/peer.pb.h"
+#include "gentianplank/node/traffic/fleet_view.h"
+#include "gentianplank/peer/proto/peer.pb.h"
 
 #include <functional>
 #include <memory>
--- a/gentianplank/node/rate_exchange_test.cc
+++ b/gentianplank/node/traffic/rate_exchange_test.cc
@@ -1,4 +1,4 @@
-#include "gentianplank/node/rate_exchange.h"
+#include "gentianplank/node/traffic/rate_exchange.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/gentianplank/node/statement_router.h
+++ b/gentianplank/node/traffic/statement_router.h
@@ -4,8 +4,8 @@
 //     router.route(statement, [](RoutedOutcome outcome) { ... });
 #pragma once
 
-#include "gentianplank/node/fleet_view.h"
-#include "gentianplank/node/forwarded_statement.h"
+#include "gentianplank/node/traffic/fleet_view.h"
+#include "gentianplank/node/traffic/forwarded_statement.h"
 
 #include <memory>
 #include <span>
--- a/gentianplank/node/statement_router_test.cc
+++ b/gentianplank/node/traffic/statement_router_test.cc
@@ -1,4 +1,4 @@
-#include "gentianplank/node/statement_router.h"
+#include "gentianplank/node/traffic/statement_router.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/gentianplank/node/traffic.h
+++ b/gentianplank/node/traffic/traffic.h
@@ -5,9 +5,9 @@
 //     traffic.publish(view);
 #pragma once
 
-#include "gentianplank/node/fleet_view.h"
-#include "gentianplank/node/forwarded_statement.h"
-#include "gentianplank/peer/peer.pb.h"
+#include "gentianplank/node/traffic/fleet_view.h"
+#include "gentianplank/node/traffic/forwarded_statement.h"
+#include "gentianplank/peer/proto/peer.pb.h"
 #include "gentianplank/settings/entry_vm_settings.h"
 
 #include <functional>
--- a/gentianplank/node/traffic_peers.cc
+++ b/gentianplank/node/traffic/traffic_peers.cc
@@ -1,4 +1,4 @@
-#include "gentianplank/node/traffic_state.h"
+#include "gentianplank/node/traffic/traffic_state.h"
 
 #include <boost/asio/post.hpp>
 
--- a/gentianplank/node/traffic_state.h
+++ b/gentianplank/node/traffic/traffic_state.h
@@ -2,17 +2,17 @@
 // members, stopping) and traffic_peers.cc (what peers ask and answer).
 #pragma once
 
-#include "gentianplank/node/traffic.h"
+#include "gentianplank/node/traffic/traffic.h"
 
 #include "gentianplank/http/http_listener.h"
 #include "gentianplank/http/tcp_listener.h"
-#include "gentianplank/node/caller_session.h"
-#include "gentianplank/node/dispatch_table.h"
-#include "gentianplank/node/member_dispatcher.h"
-#include "gentianplank/node/node_metrics.h"
-#include "gentianplank/node/peer_mesh.h"
-#include "gentianplank/node/rate_exchange.h"
-#include "gentianplank/node/statement_router.h"
+#include "gentianplank/node/traffic/caller_session.h"
+#include "gentianplank/node/traffic/dispatch_table.h"
+#include "gentianplank/node/traffic/member_dispatcher.h"
+#include "gentianplank/node/traffic/node_metrics.h"
+#include "gentianplank/node/traffic/peer_mesh.h"
+#include "gentianplank/node/traffic/rate_exchange.h"
+#include "gentianplank/node/traffic/statement_router.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
--- a/gentianplank/peer/peer_link.h
+++ b/gentianplank/peer/peer_link.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "gentianplank/base/time.h"
-#include "gentianplank/peer/peer.pb.h"
+#include "gentianplank/peer/proto/peer.pb.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
