Suspect a member that is silent at a step of the dispatcher's own

Cause: a primary went dark while all its statements were at a step before them (session values, a prepared name). Test: aMemberThatGoesDarkAtAStepIsSuspected, failed first.

--- a/gentianplank/node/traffic/member_dispatcher_links.cc
+++ b/gentianplank/node/traffic/member_dispatcher_links.cc
@@ -20,7 +20,7 @@
 constexpr Duration StepTimeout = std::chrono::milliseconds(500);
 // How soon a member that could not be reached is tried again.
 constexpr Duration UnreachablePause = std::chrono::milliseconds(150);
-// A member that is silent for this long, with a statement to answer, is checked for life: longer
+// A member that is silent for this long, with something to answer, is checked for life: longer
 // than nearly all statements take.
 constexpr Duration SuspiciousSilence = std::chrono::milliseconds(250);
 // Several times the way within a region and back.
@@ -212,6 +212,7 @@
     steps.pop_front();
     const bool isBegin = job->statement.opensTransaction && steps.empty();
     const auto after = isBegin ? job->statement.after : std::nullopt;
+    job->askedAt = steadyNow();
     job->link->request(
         platform::encodeStatement(platform::OwnRequestId, text, after), StepTimeout,
         [weak = self, job, isBegin, steps = std::move(steps)](MemberReply reply) mutable {
@@ -266,6 +267,7 @@
                                !statement.opensTransaction && !statement.continuesTransaction;
     job->isSent = true;
     job->sentAt = now;
+    job->askedAt = now;
     job->sentAtBoot = bootNow();
     job->link->request(platform::encodeStatement(statement.requestId, text,
                                                  needsPosition ? statement.after : std::nullopt),
@@ -419,7 +421,8 @@
 void MemberDispatcher::State::checkLife(Instant now)
 {
     const bool isSuspicious = std::any_of(active.begin(), active.end(), [&](const JobPointer &it) {
-        return it->isSent && now - std::max(it->sentAt, lastReplyAt) > SuspiciousSilence;
+        return it->askedAt != Instant{} &&
+               now - std::max(it->askedAt, lastReplyAt) > SuspiciousSilence;
     });
     if (!isSuspicious || isCheckingLife) {
         return;
--- a/gentianplank/node/traffic/member_dispatcher_state.h
+++ b/gentianplank/node/traffic/member_dispatcher_state.h
@@ -45,6 +45,9 @@
     bool isSent = false;
     Instant sentAt{};
     BootInstant sentAtBoot{};
+    // When the member was last asked something for it on an open connection: a step of the
+    // dispatcher's own or the statement.
+    Instant askedAt{};
     bool wasPreparedAgain = false;
 };
 
--- a/gentianplank/node/traffic/member_dispatcher_test.cc
+++ b/gentianplank/node/traffic/member_dispatcher_test.cc
@@ -1,6 +1,10 @@
 #include "gentianplank/node/traffic/member_dispatcher.h"
 #include "gentianplank/standin/text_member.h"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace gentianplank;
@@ -226,6 +230,36 @@
     BOOST_TEST(unreachableReports == 1);
 }
 
+// Pattern: a member that went dark between a connection's start and the statement was not suspected
+// before its statements, one after the other, had waited for a step of the dispatcher's own.
+BOOST_FIXTURE_TEST_CASE(aMemberThatGoesDarkAtAStepIsSuspected, Fixture)
+{
+    namespace asio = boost::asio;
+    asio::ip::tcp::acceptor acceptor(ioContext, {asio::ip::make_address("127.0.0.1"), 0});
+    asio::ip::tcp::socket far(ioContext);
+    asio::streambuf received;
+    acceptor.async_accept(far, [&](boost::system::error_code) {
+        asio::async_read_until(far, received, "\n", [&](boost::system::error_code, size_t) {
+            asio::write(far, asio::buffer(std::string("READY I -\r\n")));
+            acceptor.close();
+        });
+    });
+    MemberEntry entry = group.entryOf(0);
+    entry.address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    dispatcher->update(entry, {});
+    ForwardedStatement it = statement(1, "READ a", ForwardKind::Read);
+    it.values["time_zone"] = "UTC";
+    it.timeout = 2s;
+    execute(it);
+    const auto begun = std::chrono::steady_clock::now();
+    while (unreachableReports == 0 && std::chrono::steady_clock::now() - begun < 450ms) {
+        pause(10ms);
+    }
+    BOOST_TEST(unreachableReports == 1);
+    wait();
+    BOOST_TEST(outcomes.back()->isUnreachable);
+}
+
 BOOST_FIXTURE_TEST_CASE(organisationsTakeTurnsOnScarceConnections, ScarceFixture)
 {
     for (uint64_t i = 0; i < 40; ++i) {
