Take a duty that is free in turn; log a member as unreachable once

It counts from when the holder is known to be gone now (vm/duty_turn). Test: duty_turn_test, aDutyThatIsFreeIsTakenInTurn.

--- a/gentianplank/node/control/control_duty.cc
+++ b/gentianplank/node/control/control_duty.cc
@@ -2,6 +2,7 @@
 
 #include "gentianplank/base/event_log.h"
 #include "gentianplank/base/rendezvous.h"
+#include "gentianplank/vm/duty_turn.h"
 
 #include <algorithm>
 
@@ -11,10 +12,7 @@
 
 namespace {
 
-// The holder of the duty is asked for a sign of life this often by those next in line, and is taken
-// to be gone after the second figure.
-constexpr Duration DutyCheckInterval = std::chrono::milliseconds(400);
-constexpr Duration DutyLost = std::chrono::milliseconds(1500);
+// Of VMs in line, those that ask the holder for signs of life.
 constexpr size_t DutyCandidates = 3;
 // In a fleet that starts, the first reading of all rows takes this long after it settled.
 constexpr Duration DutySettle = std::chrono::milliseconds(300);
@@ -69,16 +67,17 @@
         frame.mutable_probe()->set_number(DutyProbe);
         traffic->sendToPeer(duty.holder, frame);
     }
-    // Those further down the line wait longer, in case the ones before them are gone too.
-    const Duration patience =
-        (isGone ? Duration::zero() : DutyLost) + DutyCheckInterval * static_cast<int64_t>(rank);
+    if (!isGone) {
+        holderGoneAt = {};
+    } else if (holderGoneAt == BootInstant{}) {
+        holderGoneAt = now;
+    }
     // In a fleet that starts, each waits its turn from when the others are known.
     const BootInstant settledAt = wasKnownBefore ? startedAt : startedAt + FleetSettle + DutySettle;
-    if (isGone ? now - std::max({holderHeardAt, holderAskedAt, settledAt}) < patience
-               : now - holderHeardAt < patience) {
-        return;
+    const DutyStanding standing{isGone, std::max(holderGoneAt, settledAt), holderHeardAt, rank};
+    if (mayTakeDuty(standing, now)) {
+        takeDuty();
     }
-    takeDuty();
 }
 
 void Control::State::takeDuty()
--- a/gentianplank/node/control/control_state.h
+++ b/gentianplank/node/control/control_state.h
@@ -167,6 +167,8 @@
     bool mayPromoteAtOnce = false;
     BootInstant holderHeardAt{};
     BootInstant holderAskedAt{};
+    // Since when the holder is known to be gone; the epoch while it is not.
+    BootInstant holderGoneAt{};
     uint64_t nextProbe = LifeProbe + 1;
     VmAbsence absence;
     std::map<uint64_t, std::shared_ptr<Confirmation>> confirmations;
--- a/gentianplank/node/traffic/member_dispatcher_links.cc
+++ b/gentianplank/node/traffic/member_dispatcher_links.cc
@@ -90,6 +90,10 @@
     }
     lastReplyAt = steadyNow();
     unreachableUntil = {};
+    if (isKnownUnreachable) {
+        isKnownUnreachable = false;
+        logEvent("member.reached", {{"member", entry.id}, {"group", entry.group}});
+    }
     job->link->onIdleClose([weak = self, link = job->link.get()] {
         auto owner = weak.lock();
         if (!owner) {
@@ -400,7 +404,11 @@
 {
     unreachableUntil = steadyNow() + UnreachablePause;
     unreachableReason = reason;
-    logEvent("member.unreachable", {{"member", entry.id}, {"group", entry.group}, {"why", reason}});
+    if (!isKnownUnreachable) {
+        isKnownUnreachable = true;
+        logEvent("member.unreachable",
+                 {{"member", entry.id}, {"group", entry.group}, {"why", reason}});
+    }
     auto jobs = std::move(waiting);
     waiting.clear();
     for (const auto &[number, job] : jobs) {
--- a/gentianplank/node/traffic/member_dispatcher_state.h
+++ b/gentianplank/node/traffic/member_dispatcher_state.h
@@ -143,6 +143,8 @@
     Instant fullUntil{};
     Instant unreachableUntil{};
     std::string unreachableReason;
+    // It was logged as such and has not answered since.
+    bool isKnownUnreachable = false;
     Instant lastReplyAt{};
     bool isCheckingLife = false;
     bool isFirstChoice = true;
