--- a/gentianplank/ctl/main.cc
+++ b/gentianplank/ctl/main.cc
@@ -38,7 +38,7 @@
     "Administers a gentianplank fleet, and calls it.\n"
     "\n"
     "The key is read from --key_file or the environment variable GENTIANPLANK_KEY.\n"
-    "Say --authority_file=FILE for TLS or --plain_text.\n"
+    "Say --authority_file=FILE for TLS or --plain_text, but for verbs that only read logs.\n"
     "\n"
     "Examples:\n"
     "  export GENTIANPLANK_KEY=the-operators-key\n"
@@ -81,7 +81,8 @@
     client.standin = absl::GetFlag(FLAGS_standin);
     client.authorityFile = absl::GetFlag(FLAGS_authority_file);
     client.timeout = std::chrono::milliseconds(absl::GetFlag(FLAGS_timeout_ms));
-    if (absl::GetFlag(FLAGS_plain_text) != client.authorityFile.empty()) {
+    const bool isSaidHow = absl::GetFlag(FLAGS_plain_text) == client.authorityFile.empty();
+    if (callsAVm(words) && !isSaidHow) {
         std::cerr << "say either --authority_file=FILE for TLS or --plain_text\n";
         return ExitBadUsage;
     }
--- a/gentianplank/ctl/verbs.cc
+++ b/gentianplank/ctl/verbs.cc
@@ -3,6 +3,7 @@
 #include <google/protobuf/util/json_util.h>
 #include <sodium.h>
 
+#include <algorithm>
 #include <sstream>
 
 namespace gentianplank {
@@ -77,6 +78,13 @@
     return hex;
 }
 
+bool callsAVm(const Words &words)
+{
+    const auto verbs = logVerbs();
+    return words.empty() || std::none_of(verbs.begin(), verbs.end(),
+                                         [&](const Verb &it) { return it.name == words.front(); });
+}
+
 std::string verbsHelp()
 {
     std::ostringstream help;
--- a/gentianplank/ctl/verbs_test.cc
+++ b/gentianplank/ctl/verbs_test.cc
@@ -194,6 +194,16 @@
     }
 }
 
+// Pattern: who only reads logs was told to say how VMs are called.
+BOOST_AUTO_TEST_CASE(verbsThatReadLogsCallNobody)
+{
+    const std::vector<std::string> trace{"trace", "5c0e7a21", "vm.log"};
+    const std::vector<std::string> status{"status"};
+    BOOST_TEST(!callsAVm(trace));
+    BOOST_TEST(callsAVm(status));
+    BOOST_TEST(callsAVm(Words()));
+}
+
 BOOST_AUTO_TEST_CASE(anyWordsEndInAClearAnswer)
 {
     const auto verbs = allVerbs();
