Keep a link to a peer's new process when the store tells of it

Ruled out: a second crash (one start line each). Now both ends say which process they are; a link to the process that the row names stays. Test: peer_mesh_test, aLinkToTheNewProcessOutlivesTheNewsOfIt failed first; a link to an earlier process is still broken. Statements' messages are declared with forwarded_statement now.

--- a/gentianplank/node/traffic/forwarded_statement.cc
+++ b/gentianplank/node/traffic/forwarded_statement.cc
@@ -1,4 +1,4 @@
-#include "gentianplank/node/traffic/peer_mesh.h"
+#include "gentianplank/node/traffic/forwarded_statement.h"
 
 namespace gentianplank {
 
--- a/gentianplank/node/traffic/forwarded_statement.h
+++ b/gentianplank/node/traffic/forwarded_statement.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "gentianplank/base/boot_clock.h"
+#include "gentianplank/peer/proto/peer.pb.h"
 #include "gentianplank/session/text_session.h"
 
 #include <functional>
@@ -107,4 +108,12 @@
     return outcome;
 }
 
+// Translate between statements and the messages between VMs. Thread-safe.
+void toWire(const ForwardedStatement &statement, peer::v1::Execute *wire);
+ForwardedStatement fromWire(const peer::v1::Execute &wire);
+void toWire(const StatementOutcome &outcome, peer::v1::Answer *wire);
+StatementOutcome fromWire(const peer::v1::Answer &wire);
+LogPosition fromWire(const peer::v1::Position &wire);
+void toWire(const LogPosition &position, peer::v1::Position *wire);
+
 } // namespace gentianplank
--- a/gentianplank/node/traffic/peer_mesh.cc
+++ b/gentianplank/node/traffic/peer_mesh.cc
@@ -54,6 +54,8 @@
     BootInstant pingSentAt{};
     bool isLeaving = false;
     bool wasLost = false;
+    // The process at the link's far end, once it has said so; 0 before.
+    uint64_t linkedIncarnation = 0;
 };
 
 } // namespace
@@ -69,6 +71,7 @@
     {}
 
     std::shared_ptr<PeerLink> linkTo(Peer &peer);
+    peer::v1::Frame hello() const;
     void linkOpened(const std::string &vm);
     void linkClosed(const std::string &vm, const std::shared_ptr<PeerLink> &link, bool wasOpen,
                     const std::string &what);
@@ -123,13 +126,18 @@
     peer.link = PeerLink::connect(ioContext, *endpoint, ConnectTimeout, std::move(callbacks));
     peer.heardAt = steadyNow();
     peer.pingedAt = {};
-    peer::v1::Frame hello;
-    hello.mutable_hello()->set_vm(ownName);
-    hello.mutable_hello()->set_incarnation(incarnation);
-    peer.link->send(hello);
+    peer.link->send(hello());
     return peer.link;
 }
 
+peer::v1::Frame PeerMesh::State::hello() const
+{
+    peer::v1::Frame frame;
+    frame.mutable_hello()->set_vm(ownName);
+    frame.mutable_hello()->set_incarnation(incarnation);
+    return frame;
+}
+
 void PeerMesh::State::linkOpened(const std::string &vm)
 {
     const auto it = peers.find(vm);
@@ -151,6 +159,7 @@
         return;
     }
     it->second.link = nullptr;
+    it->second.linkedIncarnation = 0;
     it->second.callsOwed = 0;
     it->second.unansweredSince = {};
     it->second.failedUntil = steadyNow() + FailurePause;
@@ -200,6 +209,12 @@
         takePong(vm, frame.pong());
         return;
     }
+    if (frame.has_hello()) {
+        if (it != peers.end()) {
+            it->second.linkedIncarnation = frame.hello().incarnation();
+        }
+        return;
+    }
     handler.onReply(vm, frame);
 }
 
@@ -227,6 +242,7 @@
         }
         if (frame.has_hello()) {
             link->setPeerName(frame.hello().vm());
+            link->send(self->hello());
             return;
         }
         self->handler.onRequest(link, frame);
@@ -277,7 +293,10 @@
         const auto known = m_state->peers.find(it.name);
         const bool isSame =
             known != m_state->peers.end() && known->second.record.incarnation == it.incarnation;
-        if (isSame) {
+        // The store may tell of a new process later than the link to it came about.
+        const bool isLinkedToIt = known != m_state->peers.end() && known->second.link &&
+                                  known->second.linkedIncarnation == it.incarnation;
+        if (isSame || isLinkedToIt) {
             known->second.record = it;
             continue;
         }
--- a/gentianplank/node/traffic/peer_mesh.h
+++ b/gentianplank/node/traffic/peer_mesh.h
@@ -42,7 +42,7 @@
     // Listens for peers. Returns what failed, if anything did.
     std::optional<std::string> listen(const std::string &address);
 
-    // Tells which peers there are. Links to others, or to earlier addresses, are closed.
+    // Tells which peers there are. Links to others, or to earlier processes of a peer, are closed.
     void setPeers(std::span<const VmRecord> vms);
 
     // Whether statements may be sent to the peer; true for one that was not tried of late.
@@ -67,12 +67,4 @@
     std::shared_ptr<State> m_state;
 };
 
-// Translate between statements and their messages.
-void toWire(const ForwardedStatement &statement, peer::v1::Execute *wire);
-ForwardedStatement fromWire(const peer::v1::Execute &wire);
-void toWire(const StatementOutcome &outcome, peer::v1::Answer *wire);
-StatementOutcome fromWire(const peer::v1::Answer &wire);
-LogPosition fromWire(const peer::v1::Position &wire);
-void toWire(const LogPosition &position, peer::v1::Position *wire);
-
 } // namespace gentianplank
--- /dev/null
+++ b/gentianplank/node/traffic/peer_mesh_test.cc
@@ -0,0 +1,105 @@
+#include "gentianplank/node/traffic/peer_mesh.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace gentianplank;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr uint64_t OldIncarnation = 1;
+constexpr uint64_t NewIncarnation = 2;
+
+std::string freeAddress()
+{
+    boost::asio::io_context ioContext;
+    const boost::asio::ip::tcp::acceptor acceptor(ioContext,
+                                                  {boost::asio::ip::make_address("127.0.0.1"), 0});
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+// A VM that calls another one, whose process keeps its statements until the test answers them.
+struct Fixture
+{
+    Fixture()
+    {
+        PeerMeshHandler farHandler;
+        farHandler.onRequest = [this](const std::shared_ptr<PeerLink> &link,
+                                      const peer::v1::Frame &frame) {
+            if (frame.has_execute()) {
+                requests.emplace_back(link, frame.execute().call());
+            }
+        };
+        farHandler.onOriginGone = [](uint64_t) {};
+        far = std::make_unique<PeerMesh>(ioContext, "far", NewIncarnation, std::move(farHandler));
+        PeerMeshHandler nearHandler;
+        nearHandler.onOriginGone = [](uint64_t) {};
+        nearHandler.onReply = [](const std::string &, const peer::v1::Frame &) {};
+        nearHandler.onLost = [this](const std::string &) { ++lost; };
+        near = std::make_unique<PeerMesh>(ioContext, "near", 7, std::move(nearHandler));
+        BOOST_REQUIRE(!far->listen(address));
+    }
+
+    void tellOf(uint64_t incarnation)
+    {
+        const std::vector<VmRecord> vms{{"far", address, {"a", "r"}, incarnation, false}};
+        near->setPeers(vms);
+    }
+
+    void call()
+    {
+        near->call("far", {}, [this](StatementOutcome it) { outcome = std::move(it); });
+    }
+
+    void pause(Duration time)
+    {
+        ioContext.restart();
+        ioContext.run_for(time);
+    }
+
+    boost::asio::io_context ioContext;
+    std::string address = freeAddress();
+    std::unique_ptr<PeerMesh> far;
+    std::unique_ptr<PeerMesh> near;
+    std::vector<std::pair<std::shared_ptr<PeerLink>, uint64_t>> requests;
+    std::optional<StatementOutcome> outcome;
+    int lost = 0;
+};
+
+} // namespace
+
+// Pattern: a fleet that restarts calls new processes before the store tells of them; when it did,
+// the link to the very process was broken, with an unknown outcome for each statement under way.
+BOOST_FIXTURE_TEST_CASE(aLinkToTheNewProcessOutlivesTheNewsOfIt, Fixture)
+{
+    tellOf(OldIncarnation);
+    call();
+    pause(100ms);
+    BOOST_REQUIRE(requests.size() == 1U);
+    tellOf(NewIncarnation);
+    pause(50ms);
+    BOOST_TEST(lost == 0);
+    BOOST_TEST(!outcome);
+    peer::v1::Frame reply;
+    reply.mutable_answer()->set_call(requests[0].second);
+    requests[0].first->send(reply);
+    pause(100ms);
+    BOOST_REQUIRE(outcome);
+    BOOST_TEST((outcome->fate == StatementFate::Answered));
+}
+
+// A link to a process that is gone must not keep its statements waiting.
+BOOST_FIXTURE_TEST_CASE(aLinkToAnEarlierProcessIsBroken, Fixture)
+{
+    tellOf(NewIncarnation);
+    call();
+    pause(100ms);
+    BOOST_REQUIRE(requests.size() == 1U);
+    tellOf(NewIncarnation + 1);
+    pause(50ms);
+    BOOST_TEST(lost == 1);
+    BOOST_REQUIRE(outcome);
+    BOOST_TEST((outcome->fate == StatementFate::Unknown));
+}
