Bound what waits at a relay; name the limit of a relay's silence

Cause, found by reading: a follower that waits for a relay in an outage asks again every few seconds, and each ask was kept until the relay had news. At most 2,000 for a table now, the oldest dropped. Test: whatWaitsAtARelayIsBounded, failed first (10,000 answers).

--- a/gentianplank/node/control/feed_relay.cc
+++ b/gentianplank/node/control/feed_relay.cc
@@ -12,6 +12,11 @@
 // A relay that failed is passed over for this long: several times what a process needs to start
 // anew.
 constexpr Duration AvoidPause = std::chrono::seconds(5);
+// A relay that took longer than this to fail has used up some of a proof's time.
+constexpr Duration LongSilence = std::chrono::milliseconds(500);
+// Asks that wait for one table: several of each VM of a large zone. The oldest are dropped; who
+// asked has given them up by then.
+constexpr size_t MostWaiting = 2000;
 // After so many relays failed, the store is asked: each try takes some of a proof's time.
 constexpr size_t MostFailedRelays = 2;
 // A relay of another zone is given up this much earlier than the follower's limit, so that its own
@@ -83,14 +88,11 @@
         reply(unknownAnswer(ask.number()));
         return;
     }
-    if (!follower->isReachable()) {
-        // A VM that has just started will know soon.
-        const bool hasRows = follower->provenAt() != BootInstant{};
-        if (ask.patient() || !hasRows) {
-            m_waiting[ask.table()].push_back({ask, std::move(reply)});
-        } else {
-            reply(unknownAnswer(ask.number()));
-        }
+    const bool isReachable = follower->isReachable();
+    // A VM that has just started will know soon.
+    const bool hasRows = follower->provenAt() != BootInstant{};
+    if (!isReachable && hasRows && !ask.patient()) {
+        reply(unknownAnswer(ask.number()));
         return;
     }
     const auto changes = follower->changesAfter(ask.after());
@@ -98,10 +100,14 @@
     const bool isAhead = ask.after() > follower->version();
     const bool isNews =
         ask.whole() || ask.prompt() || (!isAhead && (!changes || !changes->empty()));
-    if (isNews) {
+    if (isReachable && isNews) {
         reply(answerTo(ask, *follower));
-    } else {
-        m_waiting[ask.table()].push_back({ask, std::move(reply)});
+        return;
+    }
+    auto &waiting = m_waiting[ask.table()];
+    waiting.push_back({ask, std::move(reply)});
+    if (waiting.size() > MostWaiting) {
+        waiting.erase(waiting.begin());
     }
 }
 
@@ -235,9 +241,9 @@
         Source &source = sources[ended.ask.table()];
         const BootInstant now = bootNow();
         source.avoidedUntil[ended.vm] = now + AvoidPause;
-        const bool wasSilent = now - ended.sentAt > AvoidPause / 10;
+        const bool wasSilent = now - ended.sentAt > LongSilence;
         if (wasSilent || source.isPatient) {
-            // The proof's time is used up; there is none to try others.
+            // There is no time to try others.
             source.directUntil = now + AvoidPause;
         }
         source.isPatient = false;
--- a/gentianplank/node/control/feed_relay_test.cc
+++ b/gentianplank/node/control/feed_relay_test.cc
@@ -276,6 +276,24 @@
     BOOST_TEST(result.has_value());
 }
 
+// Pattern: in a long outage, what patient followers asked piled up at their relay.
+BOOST_FIXTURE_TEST_CASE(whatWaitsAtARelayIsBounded, Fixture)
+{
+    firstStore.feed(tl::make_unexpected(RowError{RowFault::NotDone, "test", {}}));
+    size_t answers = 0;
+    for (uint64_t i = 0; i < 10000; ++i) {
+        peer::v1::FeedAsk patient;
+        patient.set_table("t");
+        patient.set_after(4);
+        patient.set_number(i);
+        patient.set_patient(true);
+        relay.ask(patient, first.get(), [&](const peer::v1::Frame &) { ++answers; });
+    }
+    relay.advanced("t", *first);
+    BOOST_TEST(answers > 0U);
+    BOOST_TEST(answers <= 2000U);
+}
+
 BOOST_FIXTURE_TEST_CASE(aVmWithoutARelayAsksTheStore, Fixture)
 {
     relayName.reset();
