--- a/gentianplank/ctl/verbs.h
+++ b/gentianplank/ctl/verbs.h
@@ -77,7 +77,8 @@
 // Returns what each verb does, for the tool's help.
 std::string verbsHelp();
 
-// Whether the verb that the first word names calls a VM or the stand-in, so that it must be said how.
+// Whether the verb that the first word names calls a VM or the stand-in, so that it must be said
+// how.
 bool callsAVm(const Words &words);
 
 // Runs the verb that the first word names. Returns an exit code.
