--- a/gentianplank/node/traffic/peer_mesh.cc
+++ b/gentianplank/node/traffic/peer_mesh.cc
@@ -10,7 +10,6 @@
 namespace gentianplank {
 
 namespace asio = boost::asio;
-using boost::system::error_code;
 
 namespace {
 
