--- a/gentianplank/store/table_follower.cc
+++ b/gentianplank/store/table_follower.cc
@@ -23,9 +23,9 @@
         : store(rowStore)
         , scheduler(std::move(runLater))
         , table(std::move(name))
-        , settings(figures)
+        , settings(std::move(figures))
         , listener(std::move(callbacks))
-        , pause(figures.shortestPause)
+        , pause(settings.shortestPause)
     {}
 
     // Reads the whole table, page by page. The rows of the first page were read first, so changes
@@ -266,8 +266,8 @@
 
 TableFollower::TableFollower(RowStore &store, Scheduler scheduler, std::string table,
                              FollowSettings settings, FollowListener listener)
-    : m_state(std::make_shared<State>(store, std::move(scheduler), std::move(table), settings,
-                                      std::move(listener)))
+    : m_state(std::make_shared<State>(store, std::move(scheduler), std::move(table),
+                                      std::move(settings), std::move(listener)))
 {}
 
 TableFollower::~TableFollower() = default;
