Let only the holder of the duty store a group's record

Cause: a holder that was cut off from the store went on with its change when the store was back, though another VM had taken the duty and had just promoted; the old one compared the members once more, stored another member as primary over the new holder's change, and statements went there. Ruled out: two promotions (one was accepted; the old holder's calls were refused for want of the duty).

--- a/gentianplank/node/control/control_groups.cc
+++ b/gentianplank/node/control/control_groups.cc
@@ -98,6 +98,12 @@
 void Control::State::storeRecord(const GroupRecord &record, uint64_t version,
                                  std::function<void(RowResult<uint64_t>)> done)
 {
+    if (!holdsDuty()) {
+        // The new holder takes the change up; what this VM saw of the members may be older.
+        done(tl::make_unexpected(
+            RowError{RowFault::ConditionFailed, "the duty is held by another VM", {}}));
+        return;
+    }
     const std::string key = std::string(GroupKeyPrefix) + record.group;
     RowTransaction transaction;
     transaction.conditions.push_back({FleetTable, key, version});
