--- a/gentianplank/node/traffic/statement_router.cc
+++ b/gentianplank/node/traffic/statement_router.cc
@@ -91,15 +91,11 @@
         sendTo(run, request.pinnedVm, request.statement.member, request.statement.epoch);
         return;
     }
-    if (needsPrimary(request)) {
+    if (run->needsPrimary || needsPrimary(request)) {
         attemptPrimary(run);
-        return;
-    }
-    if (run->needsPrimary) {
-        attemptPrimary(run);
-        return;
+    } else {
+        attemptReader(run);
     }
-    attemptReader(run);
 }
 
 void StatementRouter::State::attemptPrimary(const RunPointer &run)
