Have the store refuse what a VM writes after it lost the duty

Pattern: a holder of the duty cut off from the store goes on with its change when the store is back. Cause: the new holder takes an unfinished change up without writing, so the group's row is as the old one left it, and the old one's conditional write was taken whenever it came before the news of the loss. What guarded it was the VM's own belief. The same held for erasing rows of VMs taken to be gone. Now both carry the duty's row with its version as a condition of the transaction; and a VM that hears of its loss ends its changes. Ruled out: two promotions (the platform refuses the old token).

--- a/gentianplank/node/control/control.cc
+++ b/gentianplank/node/control/control.cc
@@ -38,6 +38,9 @@
         registerVm();
     }
     dismissFollowers();
+    if (!holdsDuty()) {
+        abandonChanges();
+    }
     if (isRegistered && !isHandedOver) {
         considerDuty();
         if (holdsDuty()) {
--- a/gentianplank/node/control/control_duty.cc
+++ b/gentianplank/node/control/control_duty.cc
@@ -2,6 +2,7 @@
 
 #include "gentianplank/base/event_log.h"
 #include "gentianplank/base/rendezvous.h"
+#include "gentianplank/node/control/duty_writes.h"
 #include "gentianplank/vm/duty_turn.h"
 
 #include <algorithm>
@@ -154,15 +155,13 @@
         return;
     }
     logEvent("vm.gone", {{"vm", name}, {"row_version", row->second.version}});
-    RowTransaction transaction;
-    transaction.conditions.push_back({FleetTable, key, row->second.version});
-    transaction.erasures.push_back({FleetTable, key, row->second.version});
     // Without an answer, the feed shows whether the row is there, and the VM is asked again.
-    store.change(std::move(transaction), StoreTimeout, [name](const RowResult<uint64_t> &result) {
-        if (!result) {
-            logEvent("vm.gone_failed", {{"vm", name}, {"why", result.error().what}});
-        }
-    });
+    store.change(vmRowErasure(name, row->second.version, dutyVersion), StoreTimeout,
+                 [name](const RowResult<uint64_t> &result) {
+                     if (!result) {
+                         logEvent("vm.gone_failed", {{"vm", name}, {"why", result.error().what}});
+                     }
+                 });
 }
 
 } // namespace gentianplank
--- a/gentianplank/node/control/control_groups.cc
+++ b/gentianplank/node/control/control_groups.cc
@@ -1,6 +1,7 @@
 #include "gentianplank/node/control/control_state.h"
 
 #include "gentianplank/base/event_log.h"
+#include "gentianplank/node/control/duty_writes.h"
 
 #include <boost/asio/post.hpp>
 
@@ -104,11 +105,7 @@
             RowError{RowFault::ConditionFailed, "the duty is held by another VM", {}}));
         return;
     }
-    const std::string key = std::string(GroupKeyPrefix) + record.group;
-    RowTransaction transaction;
-    transaction.conditions.push_back({FleetTable, key, version});
-    transaction.writes.push_back({FleetTable, key, encodeGroupRecord(record), 0, false});
-    store.change(std::move(transaction), StoreTimeout, std::move(done));
+    store.change(groupRecordWrite(record, version, dutyVersion), StoreTimeout, std::move(done));
 }
 
 void Control::State::beginChange(const std::string &name, ChangeCause cause,
@@ -126,6 +123,16 @@
     group.change->start(cause, reason);
 }
 
+// The holder of the duty takes up what this VM had begun when it held it.
+void Control::State::abandonChanges()
+{
+    for (auto &[name, group] : groups) {
+        if (group.change) {
+            group.change->abandon("the duty is held by another VM");
+        }
+    }
+}
+
 PrimaryChangeEnvironment Control::State::changeEnvironment()
 {
     PrimaryChangeEnvironment environment;
--- a/gentianplank/node/control/control_state.h
+++ b/gentianplank/node/control/control_state.h
@@ -108,6 +108,7 @@
     void superviseGroup(const std::string &name, GroupState &group);
     void createRecord(const std::string &name);
     void beginChange(const std::string &name, ChangeCause cause, const std::string &reason);
+    void abandonChanges();
     PrimaryChangeEnvironment changeEnvironment();
     void storeRecord(const GroupRecord &record, uint64_t version,
                      std::function<void(RowResult<uint64_t>)> done);
--- a/gentianplank/node/control/primary_change.cc
+++ b/gentianplank/node/control/primary_change.cc
@@ -385,4 +385,9 @@
     }
 }
 
+void PrimaryChange::abandon(const std::string &reason)
+{
+    m_state->end(false, reason);
+}
+
 } // namespace gentianplank
--- a/gentianplank/node/control/primary_change.h
+++ b/gentianplank/node/control/primary_change.h
@@ -62,6 +62,9 @@
     // A VM has given the primary up for epochs below `epoch`.
     void released(const std::string &vm, uint64_t epoch);
 
+    // Ends it without success, at the stored step; whoever holds the duty takes it up from there.
+    void abandon(const std::string &reason);
+
 private:
     struct State;
     std::unique_ptr<State> m_state;
--- a/gentianplank/node/control/primary_change_test.cc
+++ b/gentianplank/node/control/primary_change_test.cc
@@ -248,3 +248,19 @@
     run();
     BOOST_TEST(promoted == std::vector<std::string>{"s"});
 }
+
+// Pattern: a VM that had lost the duty went on with its change beside the new holder.
+BOOST_FIXTURE_TEST_CASE(aChangeWhoseHolderLostTheDutyDoesNothingMore, Fixture)
+{
+    const auto change = begin(false);
+    run(10);
+    change->abandon("the duty is held by another VM");
+    BOOST_TEST((ended == false));
+    change->released("vm-1", 6);
+    change->released("vm-2", 6);
+    ended.reset();
+    run();
+    BOOST_TEST(promoted.empty());
+    BOOST_TEST(stored.size() == 1U);
+    BOOST_TEST(!ended);
+}
