Give each server of a test a port of its own, and share no address between processes

Cause, as far as shown: tests took a port that was free a moment before and released it. Ruled out: a lapsed standing (it lasts longer than the fleet had run), another change (a fresh store). The fixture says why it was refused. gentianplankd no longer shares its addresses: a second process with one of them ends with an error, where before both took calls (test anAddressInUseIsNotShared, failed first).

--- /dev/null
+++ b/gentianplank/base/testing/held_address.cc
@@ -0,0 +1,47 @@
+#include "gentianplank/base/testing/held_address.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <system_error>
+
+namespace gentianplank {
+
+namespace {
+
+void check(int result, const char *what)
+{
+    if (result < 0) {
+        throw std::system_error(errno, std::generic_category(), what);
+    }
+}
+
+} // namespace
+
+// The socket is bound and never listens, and stays open until the process ends. With SO_REUSEADDR
+// and SO_REUSEPORT a server can bind beside it; the kernel gives a bound port to nobody who asks
+// for any free one.
+uint16_t heldPort()
+{
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    check(socket, "no socket to hold a port");
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t n = sizeof(address);
+    check(::bind(socket, reinterpret_cast<sockaddr *>(&address), n), "no free port");
+    check(::getsockname(socket, reinterpret_cast<sockaddr *>(&address), &n), "no port's number");
+    const int on = 1;
+    check(::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)), "SO_REUSEADDR");
+    check(::setsockopt(socket, SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on)), "SO_REUSEPORT");
+    return ntohs(address.sin_port);
+}
+
+std::string heldAddress()
+{
+    return "127.0.0.1:" + std::to_string(heldPort());
+}
+
+} // namespace gentianplank
--- a/gentianplank/daemon/daemon.cc
+++ b/gentianplank/daemon/daemon.cc
@@ -149,11 +149,14 @@
         }
     }
     grpc::EnableDefaultHealthCheckService(true);
+    // Two processes at one address would each take some of the other's calls.
     grpc::ServerBuilder peers;
+    peers.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
     peers.AddListeningPort(listen.peers, m_state->channels.serverCredentials(true));
     peers.RegisterService(m_state->peerService.get());
     m_state->peerServer = peers.BuildAndStart();
     grpc::ServerBuilder callers;
+    callers.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
     callers.AddListeningPort(listen.callers, m_state->channels.serverCredentials(false));
     callers.SetSyncServerOption(grpc::ServerBuilder::MIN_POLLERS, LeastPollers);
     callers.SetSyncServerOption(grpc::ServerBuilder::MAX_POLLERS, MostPollers);
--- a/gentianplank/daemon/daemon_test.cc
+++ b/gentianplank/daemon/daemon_test.cc
@@ -1,3 +1,4 @@
+#include "gentianplank/base/testing/held_address.h"
 #include "gentianplank/daemon/testing/fleet_fixture.h"
 
 #include <boost/test/unit_test.hpp>
@@ -56,6 +57,18 @@
     BOOST_TEST(reply.error().vm == "vm-1");
 }
 
+// Pattern: two processes with one address both started, and each took some of the other's calls.
+BOOST_AUTO_TEST_CASE(anAddressInUseIsNotShared)
+{
+    FleetFixture fleet;
+    Settings settings = fleet.settings(0);
+    settings.vm.name = "vm-4";
+    settings.listen.peers = heldAddress();
+    const auto second = startDaemon(settings);
+    BOOST_REQUIRE(!second.has_value());
+    BOOST_TEST(second.error().find(settings.listen.callers) != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(gracefulShutdownCutsNoPullOff)
 {
     FleetFixture fleet;
--- a/gentianplank/daemon/testing/fleet_fixture.cc
+++ b/gentianplank/daemon/testing/fleet_fixture.cc
@@ -2,10 +2,9 @@
 
 #include "gentianplank/base/answer_digest.h"
 #include "gentianplank/base/digest.h"
+#include "gentianplank/base/testing/held_address.h"
 #include "gentianplank/proto/standin.grpc.pb.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <grpcpp/create_channel.h>
 
 #include <cstdio>
@@ -58,14 +57,6 @@
 
 } // namespace
 
-std::string freeAddress()
-{
-    boost::asio::io_context context;
-    boost::asio::ip::tcp::acceptor acceptor(context,
-                                            {boost::asio::ip::make_address("127.0.0.1"), 0});
-    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-}
-
 common::v1::Statement putStatement(const std::string &key, const std::string &value)
 {
     return statementOf("ledger.put", {key, value}, false);
@@ -152,7 +143,7 @@
 struct FleetFixture::State
 {
     std::filesystem::path folder;
-    std::string platformAddress = freeAddress();
+    std::string platformAddress = heldAddress();
     std::vector<MemberAddress> members;
     std::unique_ptr<GroupServers> group;
     std::unique_ptr<PlatformServer> platform;
@@ -240,7 +231,7 @@
 
     options.group.group = TestGroup;
     for (const char *name : {"a", "b", "c"}) {
-        m_state->members.push_back({name, freeAddress()});
+        m_state->members.push_back({name, heldAddress()});
     }
     m_state->group = std::make_unique<GroupServers>(options.group, m_state->members);
     m_state->platform = std::make_unique<PlatformServer>(
@@ -248,9 +239,9 @@
     for (const VmSettings &it : options.vms) {
         Settings settings;
         settings.vm = it;
-        settings.listen = {freeAddress(), freeAddress(),
-                           options.metrics ? freeAddress() : std::string()};
-        settings.platform.address = freeAddress();
+        settings.listen = {heldAddress(), heldAddress(),
+                           options.metrics ? heldAddress() : std::string()};
+        settings.platform.address = heldAddress();
         m_state->platform->addAddress(settings.platform.address);
         settings.tls = options.tls;
         settings.secrets = {m_state->folder / "session.secret", m_state->folder / "operator.key"};
@@ -274,8 +265,9 @@
     operations[2] = m_state->targetOperation(options.group);
     operations[3].mutable_put_route()->set_name(TestRoute);
     operations[3].mutable_put_route()->set_group(TestGroup);
-    if (!change(0, operations)) {
-        throw std::runtime_error("the fleet's configuration was refused");
+    if (const auto changed = change(0, operations); !changed) {
+        throw std::runtime_error("the fleet's configuration was refused: " +
+                                 changed.error().message);
     }
     const bool ready = waitUntil([&] {
         size_t knowPrimary = 0;
--- a/gentianplank/daemon/testing/fleet_fixture.h
+++ b/gentianplank/daemon/testing/fleet_fixture.h
@@ -28,9 +28,6 @@
 inline const std::string TestGroup = "ledger-1";
 inline const std::string TestOrganisation = "dredge-co";
 
-// Returns "127.0.0.1:port" with a port that was free a moment ago.
-std::string freeAddress();
-
 common::v1::Statement putStatement(const std::string &key, const std::string &value);
 common::v1::Statement addStatement(const std::string &key, int amount);
 common::v1::Statement getStatement(const std::string &key);
--- a/gentianplank/node/entry_test.cc
+++ b/gentianplank/node/entry_test.cc
@@ -1,4 +1,5 @@
 // The whole path over loopback: a caller, two entry VMs, a store and a group of members.
+#include "gentianplank/base/testing/held_address.h"
 #include "gentianplank/node/control/control.h"
 #include "gentianplank/node/traffic/traffic.h"
 #include "gentianplank/standin/http_table_store.h"
@@ -22,13 +23,6 @@
 
 namespace {
 
-uint16_t freePort()
-{
-    asio::io_context ioContext;
-    asio::ip::tcp::acceptor acceptor(ioContext, {asio::ip::make_address("127.0.0.1"), 0});
-    return acceptor.local_endpoint().port();
-}
-
 class Vm
 {
 public:
@@ -38,9 +32,9 @@
         m_settings.place = {zone, "r"};
         m_settings.regionOfZone = {{"a", "r"}, {"b", "r"}};
         m_settings.ip = "127.0.0.1";
-        m_settings.callerAddress = "127.0.0.1:" + std::to_string(freePort());
-        m_settings.readyAddress = "127.0.0.1:" + std::to_string(freePort());
-        m_settings.firstPeerPort = freePort();
+        m_settings.callerAddress = heldAddress();
+        m_settings.readyAddress = heldAddress();
+        m_settings.firstPeerPort = heldPort();
         m_settings.lastPeerPort = m_settings.firstPeerPort;
         m_settings.storeAddress = store.address();
         m_settings.promotionAddress = store.address();
--- a/gentianplank/node/traffic/peer_mesh_test.cc
+++ b/gentianplank/node/traffic/peer_mesh_test.cc
@@ -1,7 +1,8 @@
 #include "gentianplank/node/traffic/peer_mesh.h"
 
+#include "gentianplank/base/testing/held_address.h"
+
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace gentianplank;
@@ -12,14 +13,6 @@
 constexpr uint64_t OldIncarnation = 1;
 constexpr uint64_t NewIncarnation = 2;
 
-std::string freeAddress()
-{
-    boost::asio::io_context ioContext;
-    const boost::asio::ip::tcp::acceptor acceptor(ioContext,
-                                                  {boost::asio::ip::make_address("127.0.0.1"), 0});
-    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-}
-
 // A VM that calls another one, whose process keeps its statements until the test answers them.
 struct Fixture
 {
@@ -60,7 +53,7 @@
     }
 
     boost::asio::io_context ioContext;
-    std::string address = freeAddress();
+    std::string address = heldAddress();
     std::unique_ptr<PeerMesh> far;
     std::unique_ptr<PeerMesh> near;
     std::vector<std::pair<std::shared_ptr<PeerLink>, uint64_t>> requests;
