Follow the next relay when one stops, rather than the store

Pattern: the calls to the store of a grown fleet whose VMs are started anew one after the other. Relays that had lost their own at the same moment said so at once, which made the second failure. And a fleet that starts read two tables 73 times from the store, since the rows read just before were not published yet. Test aRelayThatDoesNotKnowSaysSo: it demanded the answer at the first moment of a loss; now none then, one when the loss is told, and at once from then until the store is back. Four new cases failed first.

--- a/gentianplank/node/control/control_store.cc
+++ b/gentianplank/node/control/control_store.cc
@@ -132,7 +132,13 @@
     if (isLeaving || !isRegistered) {
         return std::nullopt;
     }
-    return chooseRelay(settings.name, settings.place, view->vms, avoided);
+    // What was read just now counts, though it is not published yet.
+    std::vector<VmRecord> known;
+    known.reserve(vms.size());
+    for (const auto &[name, record] : vms) {
+        known.push_back(record);
+    }
+    return chooseRelay(settings.name, settings.place, known, avoided);
 }
 
 // Tells followers of tables that have been lost for a while.
--- a/gentianplank/node/control/feed_relay.cc
+++ b/gentianplank/node/control/feed_relay.cc
@@ -12,8 +12,9 @@
 // A relay that failed is passed over for this long: several times what a process needs to start
 // anew.
 constexpr Duration AvoidPause = std::chrono::seconds(5);
-// A relay that took longer than this to fail has used up some of a proof's time.
-constexpr Duration LongSilence = std::chrono::milliseconds(500);
+// How long a relay may take that answers with what it knows: it may just have lost its own, and
+// finds another or says so within half a second.
+constexpr Duration PromptPatience = std::chrono::milliseconds(600);
 // Asks that wait for one table: several of each VM of a large zone. The oldest are dropped; who
 // asked has given them up by then.
 constexpr size_t MostWaiting = 2000;
@@ -91,7 +92,7 @@
     const bool isReachable = follower->isReachable();
     // A VM that has just started will know soon.
     const bool hasRows = follower->provenAt() != BootInstant{};
-    if (!isReachable && hasRows && !ask.patient()) {
+    if (!isReachable && hasRows && !ask.patient() && m_lost.count(ask.table()) != 0) {
         reply(unknownAnswer(ask.number()));
         return;
     }
@@ -113,6 +114,7 @@
 
 void FeedRelay::dismiss(const std::string &table)
 {
+    m_lost.insert(table);
     auto &waiting = m_waiting[table];
     std::vector<Waiting> dismissed;
     std::erase_if(waiting, [&](Waiting &it) {
@@ -129,6 +131,7 @@
 
 void FeedRelay::advanced(const std::string &table, const TableFollower &follower)
 {
+    m_lost.erase(table);
     const auto waiting = std::move(m_waiting[table]);
     m_waiting[table].clear();
     for (const Waiting &it : waiting) {
@@ -145,6 +148,7 @@
         std::string vm;
         peer::v1::FeedAsk ask;
         BootInstant sentAt{};
+        BootInstant givenUpAt{};
         Done done;
     };
 
@@ -152,7 +156,8 @@
     struct Source
     {
         std::map<std::string, BootInstant> avoidedUntil;
-        BootInstant directUntil{};
+        // There is no time to try another relay before the store answers.
+        bool asksStore = false;
         // Neither relays nor the store answered.
         bool isPatient = false;
         // The last answer came from a relay; it is asked again though others failed before.
@@ -169,7 +174,8 @@
     std::optional<RelayChoice> relayOf(Source &source) const;
     // Asks a relay if there is one. Calls `askStore` otherwise.
     void ask(peer::v1::FeedAsk ask, Duration timeout, Done done,
-             const std::function<void(Done)> &askStore);
+             const std::function<void(bool isPrompt, Done)> &askStore);
+    void takeStoreAnswer(const std::string &table, const RowResult<RowSet> &result);
     void fail(uint64_t number, RowFault fault, const std::string &what);
 
     RowStore &direct;
@@ -186,7 +192,7 @@
     const BootInstant now = bootNow();
     std::erase_if(source.avoidedUntil, [now](const auto &it) { return it.second <= now; });
     if (!source.isPatient && !source.isServed &&
-        (now < source.directUntil || source.avoidedUntil.size() >= MostFailedRelays)) {
+        (source.asksStore || source.avoidedUntil.size() >= MostFailedRelays)) {
         return std::nullopt;
     }
     std::set<std::string> avoided;
@@ -197,17 +203,15 @@
 }
 
 void SecondHandRowStore::State::ask(peer::v1::FeedAsk ask, Duration timeout, Done done,
-                                    const std::function<void(Done)> &askStore)
+                                    const std::function<void(bool isPrompt, Done)> &askStore)
 {
     Source &source = sources[ask.table()];
     const auto relay = relayOf(source);
     if (!relay) {
-        askStore([weak = weak_from_this(), table = ask.table(),
-                  done = std::move(done)](RowResult<RowSet> result) {
-            const auto self = weak.lock();
-            if (self && !result && result.error().fault != RowFault::HistoryGone) {
-                self->sources[table].isPatient = true;
-                self->sources[table].isPrompt = true;
+        askStore(source.isPrompt, [weak = weak_from_this(), table = ask.table(),
+                                   done = std::move(done)](RowResult<RowSet> result) {
+            if (const auto self = weak.lock()) {
+                self->takeStoreAnswer(table, result);
             }
             done(std::move(result));
         });
@@ -217,11 +221,14 @@
     ask.set_number(number);
     ask.set_patient(source.isPatient);
     ask.set_prompt(source.isPrompt);
-    pending[number] = {relay->vm, ask, bootNow(), std::move(done)};
+    const bool answersAtOnce = source.isPrompt && !source.isPatient;
+    const Duration longest = relay->isInOwnZone ? timeout : timeout - FarRelayHaste;
+    const Duration patience = answersAtOnce ? std::min(PromptPatience, longest) : longest;
+    const BootInstant now = bootNow();
+    pending[number] = {relay->vm, ask, now, now + patience, std::move(done)};
     peer::v1::Frame frame;
     *frame.mutable_feed_ask() = std::move(ask);
     environment.send(relay->vm, frame);
-    const Duration patience = relay->isInOwnZone ? timeout : timeout - FarRelayHaste;
     environment.schedule(patience, [weak = weak_from_this(), number] {
         if (auto self = weak.lock()) {
             self->fail(number, RowFault::NotDone, "no answer in time");
@@ -229,6 +236,16 @@
     });
 }
 
+void SecondHandRowStore::State::takeStoreAnswer(const std::string &table,
+                                                const RowResult<RowSet> &result)
+{
+    const bool isAnswer = result || result.error().fault == RowFault::HistoryGone;
+    Source &source = sources[table];
+    source.asksStore = false;
+    source.isPatient = !isAnswer;
+    source.isPrompt = !isAnswer;
+}
+
 void SecondHandRowStore::State::fail(uint64_t number, RowFault fault, const std::string &what)
 {
     const auto it = pending.find(number);
@@ -241,11 +258,7 @@
         Source &source = sources[ended.ask.table()];
         const BootInstant now = bootNow();
         source.avoidedUntil[ended.vm] = now + AvoidPause;
-        const bool wasSilent = now - ended.sentAt > LongSilence;
-        if (wasSilent || source.isPatient) {
-            // There is no time to try others.
-            source.directUntil = now + AvoidPause;
-        }
+        source.asksStore = source.isPatient || now + PromptPatience > ended.givenUpAt;
         source.isPatient = false;
         source.isServed = false;
         source.isPrompt = true;
@@ -270,7 +283,7 @@
     peer::v1::FeedAsk ask;
     ask.set_table(range.table);
     ask.set_whole(true);
-    m_state->ask(std::move(ask), timeout, std::move(done), [&](State::Done direct) {
+    m_state->ask(std::move(ask), timeout, std::move(done), [&](bool, State::Done direct) {
         m_state->direct.read(range, timeout, std::move(direct));
     });
 }
@@ -287,8 +300,11 @@
     peer::v1::FeedAsk ask;
     ask.set_table(table);
     ask.set_after(after);
-    m_state->ask(std::move(ask), timeout, std::move(done), [&](State::Done direct) {
-        m_state->direct.changesAfter(table, after, wait, timeout, std::move(direct));
+    m_state->ask(std::move(ask), timeout, std::move(done), [&](bool isPrompt, State::Done direct) {
+        // After a failure a proof is wanted at once, with or without changes.
+        const Duration longest = isPrompt ? Duration::zero() : wait;
+        m_state->direct.changesAfter(table, after, longest, timeout - wait + longest,
+                                     std::move(direct));
     });
 }
 
--- a/gentianplank/node/control/feed_relay.h
+++ b/gentianplank/node/control/feed_relay.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace gentianplank {
@@ -24,11 +25,13 @@
 public:
     using Reply = std::function<void(const peer::v1::Frame &)>;
 
-    // Answers when there is something new or a younger proof; at once when this VM lost the store
-    // and the asker is not patient. `follower` is null for a table that is not followed.
+    // Answers when there is something new or a younger proof; at once when this VM said that it
+    // lost the store and the asker is not patient. `follower` is null for a table that is not
+    // followed.
     void ask(const peer::v1::FeedAsk &ask, const TableFollower *follower, Reply reply);
 
-    // Tells those who wait, and are not patient, that this VM lost the store.
+    // Tells those who wait or ask, and are not patient, that this VM lost the store; until the
+    // follower advances.
     void dismiss(const std::string &table);
 
     // The follower of a table knows more, or has a younger proof.
@@ -51,6 +54,8 @@
     void addRow(const StoredRow &row, peer::v1::FeedAnswer *answer);
 
     std::map<std::string, std::vector<Waiting>> m_waiting;
+    // Tables whose loss was told.
+    std::set<std::string> m_lost;
     // Large values as they are sent, by table and key, so that each is compressed once.
     std::map<std::pair<std::string, std::string>, PackedValue> m_packed;
 };
--- a/gentianplank/node/control/feed_relay_test.cc
+++ b/gentianplank/node/control/feed_relay_test.cc
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <thread>
 #include <utility>
 
 using namespace gentianplank;
@@ -18,15 +19,17 @@
         done(RowSet{{{"t", "a", "1", 3, false}}, 4, false, bootNow()});
     }
     void change(RowTransaction, Duration, std::function<void(RowResult<uint64_t>)>) override {}
-    void changesAfter(std::string, uint64_t, Duration, Duration,
+    void changesAfter(std::string, uint64_t, Duration wait, Duration,
                       std::function<void(RowResult<RowSet>)> done) override
     {
         feed = std::move(done);
+        lastWait = wait;
         ++feeds;
     }
 
     std::function<void(RowResult<RowSet>)> feed;
     int feeds = 0;
+    Duration lastWait{};
 };
 
 // A relay that follows the store, and a VM that follows the relay.
@@ -42,8 +45,9 @@
                 relay.advanced("t", *first);
             }
         };
-        const Scheduler scheduler = [this](Duration, std::function<void()> task) {
+        const Scheduler scheduler = [this](Duration delay, std::function<void()> task) {
             tasks.push_back(std::move(task));
+            lastDelay = delay;
         };
         FollowSettings settings;
         settings.startTime = Duration::zero();
@@ -81,6 +85,7 @@
     StoreMock secondStore;
     FeedRelay relay;
     std::vector<std::function<void()>> tasks;
+    Duration lastDelay{};
     std::unique_ptr<TableFollower> first;
     std::unique_ptr<SecondHandRowStore> second;
     std::optional<std::string> relayName = "vm-1";
@@ -143,13 +148,88 @@
     BOOST_REQUIRE(result && !*result);
     firstStore.feed(tl::make_unexpected(RowError{RowFault::NotDone, "test", {}}));
     second = nullptr;
-    bool isUnknown = false;
+    int unknowns = 0;
     peer::v1::FeedAsk late;
     late.set_table("t");
     late.set_after(4);
-    relay.ask(late, first.get(),
-              [&](const peer::v1::Frame &it) { isUnknown = it.feed_answer().unknown(); });
-    BOOST_TEST(isUnknown);
+    const auto count = [&](const peer::v1::Frame &it) {
+        unknowns += it.feed_answer().unknown() ? 1 : 0;
+    };
+    relay.ask(late, first.get(), count);
+    BOOST_TEST(unknowns == 0);
+    relay.dismiss("t");
+    BOOST_TEST(unknowns == 1);
+    relay.ask(late, first.get(), count);
+    BOOST_TEST(unknowns == 2);
+    // It is back.
+    BOOST_REQUIRE(!tasks.empty());
+    tasks.back()();
+    firstStore.feed(RowSet{{}, 9, false, bootNow()});
+    late.set_after(9);
+    relay.ask(late, first.get(), count);
+    BOOST_TEST(unknowns == 2);
+}
+
+// Pattern: when the first VM of a region stopped, the next ones had lost it at the same moment,
+// said so to each other, and all asked the store.
+BOOST_FIXTURE_TEST_CASE(aRelayThatLostItsOwnAMomentAgoIsWaitedFor, Fixture)
+{
+    firstStore.feed(tl::make_unexpected(RowError{RowFault::NotDone, "test", {}}));
+    ask(4);
+    BOOST_TEST(!result);
+    BOOST_REQUIRE(!tasks.empty());
+    tasks.front()();
+    firstStore.feed(RowSet{{}, 9, false, bootNow()});
+    BOOST_REQUIRE(result && *result);
+    BOOST_TEST(secondStore.feeds == 0);
+}
+
+// Pattern: a relay that stopped while it was waited for was taken for a silent one; all its
+// followers asked the store, for five seconds each.
+BOOST_FIXTURE_TEST_CASE(aRelayThatStopsIsFollowedByTheNext, Fixture)
+{
+    ask(4);
+    std::this_thread::sleep_for(600ms);
+    second->peerLost("vm-1");
+    BOOST_REQUIRE(result && !*result);
+    relayName = "vm-2";
+    ask(4);
+    BOOST_REQUIRE(result && *result);
+    BOOST_TEST(asked == 2);
+    BOOST_TEST(secondStore.feeds == 0);
+}
+
+// A relay that is to answer at once has not the time of one that waits for a change.
+BOOST_FIXTURE_TEST_CASE(theNextRelayHasLittleTime, Fixture)
+{
+    isDark = true;
+    ask(4);
+    BOOST_TEST((lastDelay == 2s));
+    second->peerLost("vm-1");
+    relayName = "vm-2";
+    ask(4);
+    BOOST_TEST((lastDelay <= 600ms));
+}
+
+// After a silence only the store is sure to answer before the proof is too old; it is asked once,
+// and at once.
+BOOST_FIXTURE_TEST_CASE(afterASilenceTheStoreIsAskedOnce, Fixture)
+{
+    isDark = true;
+    ask(4);
+    std::this_thread::sleep_for(1500ms);
+    tasks.back()();
+    BOOST_REQUIRE(result && !*result);
+    relayName = "vm-2";
+    isDark = false;
+    ask(4);
+    BOOST_TEST(asked == 1);
+    BOOST_REQUIRE(secondStore.feeds == 1);
+    BOOST_TEST((secondStore.lastWait == 0s));
+    secondStore.feed(RowSet{{}, 4, false, bootNow()});
+    ask(4);
+    BOOST_TEST(asked == 2);
+    BOOST_TEST(secondStore.feeds == 1);
 }
 
 // Who waits for a relay that lost the store must hear so, and asks the store itself.
