Part from a relay that stops, and learn a new relay's clock at once

Cause 1: a relay that was told to stop kept its followers waiting until its process ended, 2.3 s later. It now tells them at once to follow another. Cause 2: an answer's moment is known by the relay's clock; before an exchange that was short, only from the ask on. A VM that changed its relay twice had two proofs in a row as old as its asks, 2.7 and 3.1 s, and was without one for 1.1 s. A relay whose clock is unknown now answers at once. Ruled out: lost frames, links (no peer or relay lost in that time). Two new cases failed first.

--- a/gentianplank/node/control/control.cc
+++ b/gentianplank/node/control/control.cc
@@ -167,6 +167,7 @@
         }
         state->isLeaving = true;
         logEvent("vm.leaving", {{"vm", state->settings.name}});
+        state->relay.retire();
         state->traffic->stop();
     });
 }
--- a/gentianplank/node/control/feed_relay.cc
+++ b/gentianplank/node/control/feed_relay.cc
@@ -3,6 +3,7 @@
 #include "gentianplank/base/compression.h"
 #include "gentianplank/base/event_log.h"
 
+#include <utility>
 #include <vector>
 
 namespace gentianplank {
@@ -85,7 +86,7 @@
 
 void FeedRelay::ask(const peer::v1::FeedAsk &ask, const TableFollower *follower, Reply reply)
 {
-    if (follower == nullptr) {
+    if (follower == nullptr || m_isRetired) {
         reply(unknownAnswer(ask.number()));
         return;
     }
@@ -129,6 +130,16 @@
     }
 }
 
+void FeedRelay::retire()
+{
+    m_isRetired = true;
+    for (const auto &[table, waiting] : std::exchange(m_waiting, {})) {
+        for (const Waiting &it : waiting) {
+            it.reply(unknownAnswer(it.ask.number()));
+        }
+    }
+}
+
 void FeedRelay::advanced(const std::string &table, const TableFollower &follower)
 {
     m_lost.erase(table);
@@ -220,7 +231,8 @@
     const uint64_t number = nextNumber++;
     ask.set_number(number);
     ask.set_patient(source.isPatient);
-    ask.set_prompt(source.isPrompt);
+    // While a relay's clock is unknown, its answer counts from the ask on.
+    ask.set_prompt(source.isPrompt || clocks.count(relay->vm) == 0);
     const bool answersAtOnce = source.isPrompt && !source.isPatient;
     const Duration longest = relay->isInOwnZone ? timeout : timeout - FarRelayHaste;
     const Duration patience = answersAtOnce ? std::min(PromptPatience, longest) : longest;
--- a/gentianplank/node/control/feed_relay.h
+++ b/gentianplank/node/control/feed_relay.h
@@ -34,6 +34,9 @@
     // follower advances.
     void dismiss(const std::string &table);
 
+    // Tells all who wait, and from now on all who ask, to follow another: this VM stops.
+    void retire();
+
     // The follower of a table knows more, or has a younger proof.
     void advanced(const std::string &table, const TableFollower &follower);
 
@@ -56,6 +59,7 @@
     std::map<std::string, std::vector<Waiting>> m_waiting;
     // Tables whose loss was told.
     std::set<std::string> m_lost;
+    bool m_isRetired = false;
     // Large values as they are sent, by table and key, so that each is compressed once.
     std::map<std::pair<std::string, std::string>, PackedValue> m_packed;
 };
--- a/gentianplank/node/control/feed_relay_test.cc
+++ b/gentianplank/node/control/feed_relay_test.cc
@@ -72,6 +72,10 @@
         };
         environment.schedule = scheduler;
         second = std::make_unique<SecondHandRowStore>(secondStore, std::move(environment));
+        ask(4);
+        BOOST_REQUIRE(result);
+        result.reset();
+        asked = 0;
     }
 
     void ask(uint64_t after)
@@ -199,6 +203,49 @@
     BOOST_TEST(secondStore.feeds == 0);
 }
 
+// Pattern: a VM that had changed its relay twice took a proof of 3 s ago, and the one before it,
+// for as old as its asks were: it knew neither relay's clock, and both waited for a change.
+BOOST_FIXTURE_TEST_CASE(aNewRelayAnswersAtOnce, Fixture)
+{
+    for (const std::string vm : {"vm-2", "vm-3"}) {
+        relayName = vm;
+        ask(4);
+        BOOST_REQUIRE(result && *result);
+        ask(4);
+        BOOST_TEST(!result);
+        std::this_thread::sleep_for(100ms);
+        firstStore.feed(RowSet{{}, 9, false, bootNow()});
+        BOOST_REQUIRE(result && *result);
+        BOOST_TEST((bootNow() - (*result)->provenAt < 50ms));
+    }
+    // Its process started anew.
+    second->peerLost("vm-3");
+    ask(9);
+    BOOST_TEST((result && *result));
+}
+
+// Pattern: a relay that was told to stop kept its followers waiting until its process ended, and
+// the proof of one grew too old.
+BOOST_FIXTURE_TEST_CASE(aRelayThatStopsSaysSo, Fixture)
+{
+    firstStore.feed(RowSet{{}, 4, false, bootNow()});
+    int unknowns = 0;
+    const auto count = [&](const peer::v1::Frame &it) {
+        unknowns += it.feed_answer().unknown() ? 1 : 0;
+    };
+    peer::v1::FeedAsk feedAsk;
+    feedAsk.set_table("t");
+    feedAsk.set_after(4);
+    relay.ask(feedAsk, first.get(), count);
+    feedAsk.set_patient(true);
+    relay.ask(feedAsk, first.get(), count);
+    BOOST_TEST(unknowns == 0);
+    relay.retire();
+    BOOST_TEST(unknowns == 2);
+    relay.ask(feedAsk, first.get(), count);
+    BOOST_TEST(unknowns == 3);
+}
+
 // A relay that is to answer at once has not the time of one that waits for a change.
 BOOST_FIXTURE_TEST_CASE(theNextRelayHasLittleTime, Fixture)
 {
