Follow relays in zones of any size

One VM of a region calls the store, and a VM that is cut off from it goes on with its relay's proof, where it refused everybody before.

--- a/gentianplank/vm/relay_choice.cc
+++ b/gentianplank/vm/relay_choice.cc
@@ -9,8 +9,6 @@
 namespace {
 
 constexpr char RelayKey[] = "relay";
-// What a few VMs ask costs less than the loss of the one that they would all follow.
-constexpr size_t LargestZoneWithoutRelays = 3;
 
 std::vector<std::string> namesWithin(Distance farthest, const Place &place,
                                      std::span<const VmRecord> vms)
@@ -49,7 +47,7 @@
     const auto inZone = namesWithin(Distance::SameZone, ownPlace, vms);
     const auto inRegion = namesWithin(Distance::SameRegion, ownPlace, vms);
     const bool isListed = std::find(inZone.begin(), inZone.end(), ownName) != inZone.end();
-    if (inZone.size() <= LargestZoneWithoutRelays || !isListed) {
+    if (!isListed) {
         return std::nullopt;
     }
     if (const auto vm = firstBefore(ownName, inZone, avoided)) {
--- a/gentianplank/vm/relay_choice.h
+++ b/gentianplank/vm/relay_choice.h
@@ -21,7 +21,7 @@
 };
 
 // The VM to follow; nothing for a VM that asks the store itself. VMs in `avoided`, and those that
-// leave, are passed over. In zones of a few VMs each asks the store itself. Thread-safe.
+// leave, are passed over. Thread-safe.
 std::optional<RelayChoice> chooseRelay(const std::string &ownName, const Place &ownPlace,
                                        std::span<const VmRecord> vms,
                                        const std::set<std::string> &avoided);
