Renew a proof that comes old with one short call

Pattern: in a fleet where nothing has changed for a minute no call to the store is short, so an answer's moment is only known to lie after the call; proofs of 2.9 s come 2.9 s old, and rights that last 4.7 s lapse between two answers. Cause: what is known of the store's clock is forgotten after 60 s (drift), and feeds wait for seconds. Now a follower whose answer's proof is older than 0.7 s makes one call that does not wait. Test aProofThatComesOldIsRenewedAtOnce failed first.

--- a/gentianplank/node/control/feed_relay.cc
+++ b/gentianplank/node/control/feed_relay.cc
@@ -232,7 +232,7 @@
     ask.set_number(number);
     ask.set_patient(source.isPatient);
     // While a relay's clock is unknown, its answer counts from the ask on.
-    ask.set_prompt(source.isPrompt || clocks.count(relay->vm) == 0);
+    ask.set_prompt(ask.prompt() || source.isPrompt || clocks.count(relay->vm) == 0);
     const bool answersAtOnce = source.isPrompt && !source.isPatient;
     const Duration longest = relay->isInOwnZone ? timeout : timeout - FarRelayHaste;
     const Duration patience = answersAtOnce ? std::min(PromptPatience, longest) : longest;
@@ -312,6 +312,7 @@
     peer::v1::FeedAsk ask;
     ask.set_table(table);
     ask.set_after(after);
+    ask.set_prompt(wait == Duration::zero());
     m_state->ask(std::move(ask), timeout, std::move(done), [&](bool isPrompt, State::Done direct) {
         // After a failure a proof is wanted at once, with or without changes.
         const Duration longest = isPrompt ? Duration::zero() : wait;
--- a/gentianplank/store/table_follower.cc
+++ b/gentianplank/store/table_follower.cc
@@ -10,6 +10,9 @@
 
 // Answers with changes in a second that are followed up at once.
 constexpr size_t CalmChanges = 4;
+// An answer without changes proves what was so when it was made; a proof that is older when it
+// comes counts from the call, since no short one showed the store's clock of late.
+constexpr Duration OldProof = std::chrono::milliseconds(700);
 // Changes that are kept for others who follow at second hand; several times what a storm brings
 // while one of them is away.
 constexpr size_t LongestHistory = 500;
@@ -109,7 +112,8 @@
     void follow()
     {
         auto weak = weak_from_this();
-        store.changesAfter(table, version, settings.wait, settings.wait + settings.patience,
+        const Duration wait = isProofWanted ? Duration::zero() : settings.wait;
+        store.changesAfter(table, version, wait, wait + settings.patience,
                            [weak](RowResult<RowSet> result) {
                                if (auto self = weak.lock()) {
                                    self->takeChanges(std::move(result));
@@ -138,6 +142,8 @@
             return;
         }
         prove(at);
+        // One short call shows it, or nothing does.
+        isProofWanted = !isProofWanted && bootNow() - at > OldProof;
         followAfter(hasChanges ? pauseAfterChanges() : Duration::zero());
     }
 
@@ -224,6 +230,7 @@
 
     void retry(const std::string &what)
     {
+        isProofWanted = false;
         if (isReachable) {
             isReachable = false;
             listener.onReachable(false, what);
@@ -254,6 +261,7 @@
     uint64_t version = 0;
     BootInstant provenAt{};
     bool isReachable = false;
+    bool isProofWanted = false;
     bool hasBeenRead = false;
     BootInstant startedAt{};
     std::deque<BootInstant> changedAt;
--- a/gentianplank/store/table_follower_test.cc
+++ b/gentianplank/store/table_follower_test.cc
@@ -17,16 +17,18 @@
         reads.push_back(std::move(done));
     }
     void change(RowTransaction, Duration, std::function<void(RowResult<uint64_t>)>) override {}
-    void changesAfter(std::string, uint64_t after, Duration, Duration,
+    void changesAfter(std::string, uint64_t after, Duration wait, Duration,
                       std::function<void(RowResult<RowSet>)> done) override
     {
         afters.push_back(after);
+        waits.push_back(wait);
         feeds.push_back(std::move(done));
     }
 
     std::vector<RowRange> ranges;
     std::vector<std::function<void(RowResult<RowSet>)>> reads;
     std::vector<uint64_t> afters;
+    std::vector<Duration> waits;
     std::vector<std::function<void(RowResult<RowSet>)>> feeds;
 };
 
@@ -195,3 +197,24 @@
     BOOST_TEST(proofs == 2);
     BOOST_TEST(reachable.size() == 3U);
 }
+
+// Pattern: in a fleet where nothing changed for a minute, all calls had waited for seconds, and
+// what they proved counted from when they were made: rights lapsed between two answers.
+BOOST_FIXTURE_TEST_CASE(aProofThatComesOldIsRenewedAtOnce, Fixture)
+{
+    settle();
+    store.reads.back()(RowSet{{}, 4, false, bootNow()});
+    BOOST_TEST((store.waits.back() == 1s));
+    store.feeds.back()(RowSet{{}, 4, false, bootNow() - 900ms});
+    BOOST_TEST((store.waits.back() == 0s));
+    // Where that does not help, the store is not asked all the time.
+    store.feeds.back()(RowSet{{}, 4, false, bootNow() - 900ms});
+    BOOST_TEST((store.waits.back() == 1s));
+    store.feeds.back()(RowSet{{}, 4, false, bootNow()});
+    BOOST_TEST((store.waits.back() == 1s));
+    // Nor with short calls in an outage.
+    store.feeds.back()(RowSet{{}, 4, false, bootNow() - 900ms});
+    store.feeds.back()(tl::make_unexpected(RowError{RowFault::NotDone, "test", {}}));
+    tasks.back()();
+    BOOST_TEST((store.waits.back() == 1s));
+}
