Act on a group's record only when all writes of it are known

Pattern: the holder of the duty ended a change at 12.99 s; its relay told it of that write only after 13.4 s, so that it took the change for unfinished, found the new primary full just then (no answer to its question), and had another member promoted. Relays in small zones made it likely; a slow store could do the same before. Now it acts only on rows proven after its last write and after it took the duty, and a promotion needs the group's row with the version that the change stands on, read together with the duty's. Ruled out: the fence on writes (the second change never stored anything), two holders.

--- a/gentianplank/node/control/control_duty.cc
+++ b/gentianplank/node/control/control_duty.cc
@@ -103,8 +103,9 @@
     });
 }
 
-// Calls the platform only with a proof made just before that the duty is still held.
-void Control::State::promote(const std::string &group, const std::string &member,
+// Calls the platform only with a proof made just before that the duty is still held, and that the
+// group's row is the one that the change stands on.
+void Control::State::promote(const std::string &group, uint64_t version, const std::string &member,
                              std::function<void(platform::PromotionAnswer, std::string)> done)
 {
     const bool isTooEarly = !mayPromoteAtOnce && bootNow() - dutyTakenAt < DutyHandOver;
@@ -113,19 +114,19 @@
         return;
     }
     const BootInstant sentAt = bootNow();
-    store.read(
-        {FleetTable, PromotionDutyKey}, StoreTimeout,
-        [this, group, member, sentAt, done = std::move(done)](const RowResult<RowSet> &result) {
-            const bool isHeld = result && !result->rows.empty() &&
-                                result->rows.front().key == PromotionDutyKey &&
-                                result->rows.front().version == dutyVersion && holdsDuty();
-            if (!isHeld || bootNow() - sentAt > DutyProofAge) {
-                done(platform::PromotionAnswer::NotDone, "the duty could not be proven");
-                return;
-            }
-            platform::callPromotion(promotionCaller, group, member, settings.name, dutyVersion,
-                                    PromotionTimeout, done);
-        });
+    store.read({FleetTable, PromotionDutyKey}, StoreTimeout,
+               [this, group, version, member, sentAt,
+                done = std::move(done)](const RowResult<RowSet> &result) {
+                   const bool isProven = result && holdsDuty() &&
+                                         allowsPromotion(*result, dutyVersion, group, version);
+                   if (!isProven || bootNow() - sentAt > DutyProofAge) {
+                       done(platform::PromotionAnswer::NotDone,
+                            "the duty, or the group's record, could not be proven");
+                       return;
+                   }
+                   platform::callPromotion(promotionCaller, group, member, settings.name,
+                                           dutyVersion, PromotionTimeout, done);
+               });
 }
 
 void Control::State::superviseVms()
--- a/gentianplank/node/control/control_groups.cc
+++ b/gentianplank/node/control/control_groups.cc
@@ -40,7 +40,7 @@
 void Control::State::superviseGroup(const std::string &name, GroupState &group)
 {
     const BootInstant now = bootNow();
-    if (group.change || now < group.notBefore) {
+    if (group.change || now < group.notBefore || !knowsAllWrites(group)) {
         return;
     }
     if (group.version == 0) {
@@ -70,6 +70,11 @@
     }
 }
 
+bool Control::State::knowsAllWrites(const GroupState &group) const
+{
+    return showsAllWrites(fleetFollower->provenAt(), group.writtenAt, dutyTakenAt);
+}
+
 // The first record of a group names the member that says it leads.
 void Control::State::createRecord(const std::string &name)
 {
@@ -105,7 +110,11 @@
             RowError{RowFault::ConditionFailed, "the duty is held by another VM", {}}));
         return;
     }
-    store.change(groupRecordWrite(record, version, dutyVersion), StoreTimeout, std::move(done));
+    store.change(groupRecordWrite(record, version, dutyVersion), StoreTimeout,
+                 [this, name = record.group, done = std::move(done)](RowResult<uint64_t> result) {
+                     groups[name].writtenAt = bootNow();
+                     done(std::move(result));
+                 });
 }
 
 void Control::State::beginChange(const std::string &name, ChangeCause cause,
@@ -159,9 +168,10 @@
                                std::function<void(RowResult<uint64_t>)> done) {
         storeRecord(record, version, std::move(done));
     };
-    environment.promote = [this](const std::string &group, const std::string &member,
+    environment.promote = [this](const std::string &group, uint64_t version,
+                                 const std::string &member,
                                  std::function<void(platform::PromotionAnswer, std::string)> done) {
-        promote(group, member, std::move(done));
+        promote(group, version, member, std::move(done));
     };
     return environment;
 }
@@ -261,7 +271,8 @@
                                    {"reachable", isReachable},
                                    {"unreachable_from", confirmation->unreachable}});
     const bool isStill = group.record.primary == confirmation->member &&
-                         group.record.phase == GroupPhase::Serving && !group.change;
+                         group.record.phase == GroupPhase::Serving && !group.change &&
+                         knowsAllWrites(group);
     if (!isReachable && isStill && holdsDuty()) {
         beginChange(confirmation->group, ChangeCause::Unreachable, "no VM reaches the primary");
     }
--- a/gentianplank/node/control/control_state.h
+++ b/gentianplank/node/control/control_state.h
@@ -39,6 +39,8 @@
     uint64_t version = 0;
     std::shared_ptr<PrimaryChange> change;
     BootInstant notBefore{};
+    // When the last write of the record by this VM had its answer, or was given up.
+    BootInstant writtenAt{};
     bool isConfirming = false;
     BootInstant suspectedAt{};
     BootInstant suspicionSentAt{};
@@ -96,7 +98,7 @@
     bool holdsDuty() const;
     std::vector<std::string> dutyRanking() const;
     void takeDuty();
-    void promote(const std::string &group, const std::string &member,
+    void promote(const std::string &group, uint64_t version, const std::string &member,
                  std::function<void(platform::PromotionAnswer, std::string)> done);
 
     // Erases the rows of VMs that are gone for good, so that their parts of the rates are free.
@@ -106,6 +108,7 @@
     // The groups' primaries.
     void superviseGroups();
     void superviseGroup(const std::string &name, GroupState &group);
+    bool knowsAllWrites(const GroupState &group) const;
     void createRecord(const std::string &name);
     void beginChange(const std::string &name, ChangeCause cause, const std::string &reason);
     void abandonChanges();
--- a/gentianplank/node/control/duty_writes.cc
+++ b/gentianplank/node/control/duty_writes.cc
@@ -2,6 +2,9 @@
 
 #include "gentianplank/vm/fleet_records.h"
 
+#include <algorithm>
+#include <optional>
+
 namespace gentianplank {
 
 namespace {
@@ -11,6 +14,13 @@
     return {FleetTable, PromotionDutyKey, dutyVersion};
 }
 
+std::optional<uint64_t> versionIn(const RowSet &set, std::string_view key)
+{
+    const auto it = std::find_if(set.rows.begin(), set.rows.end(),
+                                 [key](const StoredRow &row) { return row.key == key; });
+    return it == set.rows.end() ? std::nullopt : std::optional<uint64_t>(it->version);
+}
+
 } // namespace
 
 RowTransaction groupRecordWrite(const GroupRecord &record, uint64_t version, uint64_t dutyVersion)
@@ -33,4 +43,19 @@
     return transaction;
 }
 
+bool allowsPromotion(const RowSet &read, uint64_t dutyVersion, std::string_view group,
+                     uint64_t version)
+{
+    if (versionIn(read, PromotionDutyKey) != dutyVersion) {
+        return false;
+    }
+    const auto stored = versionIn(read, std::string(GroupKeyPrefix) + std::string(group));
+    return stored ? *stored == version : read.hasMore;
+}
+
+bool showsAllWrites(BootInstant provenAt, BootInstant writtenAt, BootInstant takenAt)
+{
+    return provenAt > std::max(writtenAt, takenAt);
+}
+
 } // namespace gentianplank
--- a/gentianplank/node/control/duty_writes_test.cc
+++ b/gentianplank/node/control/duty_writes_test.cc
@@ -79,3 +79,28 @@
     BOOST_TEST(!store.change(vmRowErasure("vm-2", 9, 7)));
     BOOST_TEST(store.rows[VmRow] == 9U);
 }
+
+// Pattern: the holder of the duty had ended a change, did not hear of its own write for 0.4 s, took
+// the change for unfinished, and had another member promoted beside the one that led.
+BOOST_AUTO_TEST_CASE(nobodyIsPromotedOverARecordThatIsNoLongerTheOneKnown)
+{
+    RowSet read;
+    read.rows = {{FleetTable, PromotionDutyKey, "", 7, false},
+                 {FleetTable, GroupRow, "", 11, false}};
+    BOOST_TEST(allowsPromotion(read, 7, "g", 11));
+    BOOST_TEST(!allowsPromotion(read, 7, "g", 8));
+    BOOST_TEST(!allowsPromotion(read, 6, "g", 11));
+    BOOST_TEST(!allowsPromotion(read, 7, "h", 11));
+    read.hasMore = true;
+    BOOST_TEST(allowsPromotion(read, 7, "h", 11));
+    BOOST_TEST(!allowsPromotion(RowSet{}, 7, "g", 11));
+}
+
+BOOST_AUTO_TEST_CASE(aRecordIsActedOnAfterAllWritesAreKnown)
+{
+    const BootInstant at = bootNow();
+    const auto second = std::chrono::seconds(1);
+    BOOST_TEST(showsAllWrites(at, at - second, at - second));
+    BOOST_TEST(!showsAllWrites(at, at + second, at - second));
+    BOOST_TEST(!showsAllWrites(at, at - second, at + second));
+}
--- a/gentianplank/node/control/primary_change.cc
+++ b/gentianplank/node/control/primary_change.cc
@@ -243,7 +243,7 @@
                                  {"position", candidate.status.position.position},
                                  {"old_position", oldPrimary ? oldPrimary->position.position : 0}});
     environment.promote(
-        record.group, candidate.entry.id,
+        record.group, version, candidate.entry.id,
         [weak = self, candidate](platform::PromotionAnswer answer, const std::string &what) {
             auto owner = weak.lock();
             if (!owner || owner->m_state->hasEnded) {
--- a/gentianplank/node/control/primary_change.h
+++ b/gentianplank/node/control/primary_change.h
@@ -31,8 +31,9 @@
     std::function<void(const GroupRecord &, uint64_t version,
                        std::function<void(RowResult<uint64_t>)>)>
         store;
-    // Promotes, if this VM holds the duty by a proof made just before.
-    std::function<void(const std::string &group, const std::string &member,
+    // Promotes, if this VM holds the duty and the group's row has `version` by a proof made just
+    // before.
+    std::function<void(const std::string &group, uint64_t version, const std::string &member,
                        std::function<void(platform::PromotionAnswer, std::string)>)>
         promote;
 };
--- a/gentianplank/node/control/primary_change_test.cc
+++ b/gentianplank/node/control/primary_change_test.cc
@@ -47,8 +47,9 @@
             done(++rowVersion);
         };
         environment.promote =
-            [this](const std::string &, const std::string &member,
+            [this](const std::string &, uint64_t version, const std::string &member,
                    const std::function<void(platform::PromotionAnswer, std::string)> &done) {
+                BOOST_TEST(version == rowVersion);
                 promoted.push_back(member);
                 if (answer == platform::PromotionAnswer::Accepted || hasEffect) {
                     says(member, true, 4, 100);
