--- a/gentianplank/base/testing/held_address_test.cc
+++ b/gentianplank/base/testing/held_address_test.cc
@@ -15,12 +15,12 @@
 // other's calls: a fleet's first configuration was refused.
 BOOST_AUTO_TEST_CASE(noPortIsGivenTwice)
 {
-    constexpr size_t Ports = 700;
+    constexpr size_t count = 700;
     std::set<uint16_t> ports;
-    for (size_t i = 0; i < Ports; ++i) {
+    for (size_t i = 0; i < count; ++i) {
         ports.insert(heldPort());
     }
-    BOOST_TEST(ports.size() == Ports);
+    BOOST_TEST(ports.size() == count);
 }
 
 BOOST_AUTO_TEST_CASE(aServerListensAtAHeldPort)
