One way out of a member's turn, one rule for a usable primary, and other twins made one

Behaviour stays as it is. - A statement gave its slot back in two places of the dispatcher, with the same lines: endTurn. - usablePrimary repeated the checks of mayUsePrimary, which it now calls. - A relay built the list of changes twice for each ask, once only to see whether there are any: TableFollower::isUnchangedSince. - The VMs' records were copied by two loops: vmRecords. - main joined words by a loop of its own: absl::StrJoin, as elsewhere. - The time before the platform's kill had no name: GraceMargin.

--- a/gentianplank/node/control/control_state.h
+++ b/gentianplank/node/control/control_state.h
@@ -84,6 +84,7 @@
 
     SecondHandEnvironment secondHandEnvironment();
     std::optional<RelayChoice> relayToFollow(const std::set<std::string> &avoided) const;
+    std::vector<VmRecord> vmRecords() const;
     bool isFleetSettled() const;
     void dismissFollowers();
     const TableFollower *followerOf(const std::string &table) const;
--- a/gentianplank/node/control/control_store.cc
+++ b/gentianplank/node/control/control_store.cc
@@ -133,12 +133,17 @@
         return std::nullopt;
     }
     // What was read just now counts, though it is not published yet.
-    std::vector<VmRecord> known;
-    known.reserve(vms.size());
+    return chooseRelay(settings.name, settings.place, vmRecords(), avoided);
+}
+
+std::vector<VmRecord> Control::State::vmRecords() const
+{
+    std::vector<VmRecord> records;
+    records.reserve(vms.size());
     for (const auto &[name, record] : vms) {
-        known.push_back(record);
+        records.push_back(record);
     }
-    return chooseRelay(settings.name, settings.place, known, avoided);
+    return records;
 }
 
 // Tells followers of tables that have been lost for a while.
@@ -311,9 +316,7 @@
             next->groups[name] = group.record;
         }
     }
-    for (const auto &[name, record] : vms) {
-        next->vms.push_back(record);
-    }
+    next->vms = vmRecords();
     next->wasKnownBefore = wasKnownBefore;
     view = next;
     traffic->publish(view);
--- a/gentianplank/node/control/feed_relay.cc
+++ b/gentianplank/node/control/feed_relay.cc
@@ -97,11 +97,10 @@
         reply(unknownAnswer(ask.number()));
         return;
     }
-    const auto changes = follower->changesAfter(ask.after());
     // Who knows more than this VM would ask again at once, for as long as that is so.
     const bool isAhead = ask.after() > follower->version();
     const bool isNews =
-        ask.whole() || ask.prompt() || (!isAhead && (!changes || !changes->empty()));
+        ask.whole() || ask.prompt() || (!isAhead && !follower->isUnchangedSince(ask.after()));
     if (isReachable && isNews) {
         reply(answerTo(ask, *follower));
         return;
--- a/gentianplank/node/main.cc
+++ b/gentianplank/node/main.cc
@@ -10,6 +10,7 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 #include <absl/flags/usage_config.h>
+#include <absl/strings/str_join.h>
 
 #include <csignal>
 #include <cstdlib>
@@ -53,15 +54,6 @@
     }
 }
 
-std::string joined(const std::vector<std::string> &names)
-{
-    std::string text;
-    for (const std::string &it : names) {
-        text += (text.empty() ? "" : ", ") + it;
-    }
-    return text;
-}
-
 // Reads the settings again. What a running process can't take is logged; the next start takes it.
 void reloadSettings(const std::string &file, EntryVmSettings &current, bool wasAsked,
                     Traffic &traffic)
@@ -80,8 +72,8 @@
     }
     if (wasAsked || !change.taken.empty()) {
         logEvent("settings.reloaded", {{"asked", wasAsked},
-                                       {"taken", joined(change.taken)},
-                                       {"at_next_start", joined(change.waiting)}});
+                                       {"taken", absl::StrJoin(change.taken, ", ")},
+                                       {"at_next_start", absl::StrJoin(change.waiting, ", ")}});
     }
 }
 
--- a/gentianplank/node/traffic/member_dispatcher.cc
+++ b/gentianplank/node/traffic/member_dispatcher.cc
@@ -127,16 +127,22 @@
         return;
     }
     // The turn goes to others meanwhile.
+    endTurn(job);
+    stalled.push_back(job);
+}
+
+// Gives a statement's slot back.
+void MemberDispatcher::State::endTurn(const JobPointer &job)
+{
     active.remove(job);
     if (job->isInQueue) {
-        gentianplank::finish(queue, job->number, steadyNow());
         job->isInQueue = false;
+        gentianplank::finish(queue, job->number, steadyNow());
     }
     if (job->isBesideQueue) {
-        --besideQueue;
         job->isBesideQueue = false;
+        --besideQueue;
     }
-    stalled.push_back(job);
 }
 
 // A connection became free or was closed.
--- a/gentianplank/node/traffic/member_dispatcher_links.cc
+++ b/gentianplank/node/traffic/member_dispatcher_links.cc
@@ -362,15 +362,7 @@
 
 void MemberDispatcher::State::finish(const JobPointer &job, StatementOutcome outcome)
 {
-    active.remove(job);
-    if (job->isInQueue) {
-        job->isInQueue = false;
-        gentianplank::finish(queue, job->number, steadyNow());
-    }
-    if (job->isBesideQueue) {
-        job->isBesideQueue = false;
-        --besideQueue;
-    }
+    endTurn(job);
     const auto it = pinned.find(job->statement.session);
     if (it != pinned.end()) {
         it->second.isRunning = false;
--- a/gentianplank/node/traffic/member_dispatcher_state.h
+++ b/gentianplank/node/traffic/member_dispatcher_state.h
@@ -88,6 +88,7 @@
     void pump();
     void startNew(const JobPointer &job);
     void continueTransaction(const JobPointer &job);
+    void endTurn(const JobPointer &job);
     void freed();
     void expireWaiting(Instant now);
     size_t running() const { return queue.running.size() + besideQueue; }
--- a/gentianplank/node/traffic/traffic.cc
+++ b/gentianplank/node/traffic/traffic.cc
@@ -28,6 +28,8 @@
 constexpr Duration BalancerPause = std::chrono::milliseconds(2300);
 // A stopping VM dispatches for its members this long: another one may be far from them.
 constexpr Duration HandOverPause = std::chrono::milliseconds(1800);
+// A VM that stops ends this much before the platform would kill it.
+constexpr Duration GraceMargin = std::chrono::milliseconds(700);
 // A leaving member gets no new work this much before the platform's limit.
 constexpr Duration DrainMargin = std::chrono::milliseconds(2000);
 constexpr std::string_view MetricsPath = "/metrics";
@@ -193,12 +195,7 @@
 std::optional<GroupRecord> Traffic::State::usablePrimary(const std::string &group) const
 {
     const auto it = view->groups.find(group);
-    if (it == view->groups.end()) {
-        return std::nullopt;
-    }
-    const auto released = releasedEpochs.find(group);
-    const bool isReleased = released != releasedEpochs.end() && it->second.epoch < released->second;
-    if (isReleased || !gentianplank::mayUsePrimary(rightTo(it->second), bootNow())) {
+    if (it == view->groups.end() || !mayUsePrimary(group, it->second.epoch)) {
         return std::nullopt;
     }
     const auto member = view->members.find(it->second.primary);
@@ -396,7 +393,7 @@
     for (const auto &[id, dispatcher] : dispatchers) {
         isIdle = isIdle && dispatcher->isIdle();
     }
-    const Duration last = settings.grace - std::chrono::milliseconds(700);
+    const Duration last = settings.grace - GraceMargin;
     if ((isIdle && since > BalancerPause) || since > last) {
         hasStopped = true;
         logEvent("traffic.stopped", {{"open_sessions", sessions.size()}});
--- a/gentianplank/store/table_follower.cc
+++ b/gentianplank/store/table_follower.cc
@@ -210,6 +210,8 @@
         }
     }
 
+    bool knowsChangesAfter(uint64_t after) const { return version != 0 && after >= historyAfter; }
+
     void forgetHistory()
     {
         history.clear();
@@ -298,7 +300,7 @@
 
 std::optional<std::vector<StoredRow>> TableFollower::changesAfter(uint64_t version) const
 {
-    if (m_state->version == 0 || version < m_state->historyAfter) {
+    if (!m_state->knowsChangesAfter(version)) {
         return std::nullopt;
     }
     std::vector<StoredRow> changes;
@@ -308,6 +310,12 @@
     return changes;
 }
 
+bool TableFollower::isUnchangedSince(uint64_t version) const
+{
+    const auto &history = m_state->history;
+    return m_state->knowsChangesAfter(version) && history.upper_bound(version) == history.end();
+}
+
 uint64_t TableFollower::version() const
 {
     return m_state->version;
--- a/gentianplank/store/table_follower.h
+++ b/gentianplank/store/table_follower.h
@@ -65,6 +65,9 @@
     // The rows that changed after a version, in order; nothing when that is no longer known.
     std::optional<std::vector<StoredRow>> changesAfter(uint64_t version) const;
 
+    // Whether it is known that no row changed after a version.
+    bool isUnchangedSince(uint64_t version) const;
+
     // The store's version that the rows are as of.
     uint64_t version() const;
 
--- a/gentianplank/store/table_follower_test.cc
+++ b/gentianplank/store/table_follower_test.cc
@@ -181,6 +181,9 @@
     BOOST_TEST(follower->changesAfter(4)->size() == 1U);
     BOOST_TEST(follower->changesAfter(6)->empty());
     BOOST_TEST(follower->version() == 7U);
+    BOOST_TEST(!follower->isUnchangedSince(3));
+    BOOST_TEST(!follower->isUnchangedSince(4));
+    BOOST_TEST(follower->isUnchangedSince(6));
 }
 
 BOOST_FIXTURE_TEST_CASE(aStoreThatFailsProvesNothingAndIsAskedAgain, Fixture)
