Plan a stop by the grace, and derive times from the platform's bounds

Cause: with grace-s 3 the pause for the balancer (2.3 s) and the margin before the kill (0.7 s) are the whole grace, so that what ran was cut off; the wait before a part of a rate grows, the feeds' waits, the use of a leaving primary and the lowering of a limit were fixed for today's bounds. Ruled out: nothing else ends sessions at a stop.

--- a/gentianplank/base/rendezvous.h
+++ b/gentianplank/base/rendezvous.h
@@ -5,6 +5,8 @@
 //     const bool home = !ranked.empty() && ranked.front() == self;
 #pragma once
 
+#include <cstddef>
+#include <limits>
 #include <span>
 #include <string>
 #include <string_view>
@@ -12,10 +14,13 @@
 
 namespace gentianplank {
 
-// Returns the candidates, best first, for the role that `key` names. Independent of the order of
-// `candidates`; ties break by name. O(n log n). Thread-safe.
+inline constexpr size_t AllCandidates = std::numeric_limits<size_t>::max();
+
+// Returns the candidates, best first, for the role that `key` names; at most `most` of them.
+// Independent of the order of `candidates`; ties break by name. O(n log most). Thread-safe.
 std::vector<std::string> rankByRendezvous(std::string_view key,
-                                          std::span<const std::string> candidates);
+                                          std::span<const std::string> candidates,
+                                          size_t most = AllCandidates);
 
 // Returns the best candidate, or an empty string without candidates. O(n).
 std::string pickByRendezvous(std::string_view key, std::span<const std::string> candidates);
--- a/gentianplank/configuration/routing.cc
+++ b/gentianplank/configuration/routing.cc
@@ -1,5 +1,7 @@
 #include "gentianplank/configuration/routing.h"
 
+#include <algorithm>
+
 namespace gentianplank {
 
 namespace {
@@ -29,4 +31,13 @@
     return findIn(groups, name);
 }
 
+Duration longestStatement(const Routing &routing)
+{
+    Duration longest{0};
+    for (const auto &[database, route] : routing.routes) {
+        longest = std::max(longest, route.timeout);
+    }
+    return longest;
+}
+
 } // namespace gentianplank
--- a/gentianplank/configuration/routing.h
+++ b/gentianplank/configuration/routing.h
@@ -84,4 +84,7 @@
     const GroupLimits *group(std::string_view name) const;
 };
 
+// The longest that a statement may take on any route; zero without routes.
+Duration longestStatement(const Routing &routing);
+
 } // namespace gentianplank
--- a/gentianplank/node/control/control_store.cc
+++ b/gentianplank/node/control/control_store.cc
@@ -4,6 +4,7 @@
 #include "gentianplank/base/rendezvous.h"
 #include "gentianplank/platform/documents.h"
 #include "gentianplank/platform/names.h"
+#include "gentianplank/settings/derived_times.h"
 
 #include <boost/asio/post.hpp>
 
@@ -15,12 +16,10 @@
 
 namespace {
 
-// How long the store waits before it answers a feed without changes. The configuration's proof
-// lasts 4.7 s and the primaries' 3 s; each must be renewed in time though one answer is lost, which
-// shows 0.7 s after it was due. Members that leave must be known within 7 s.
-constexpr Duration ConfigurationWait = std::chrono::milliseconds(2900);
+// How long the store waits before it answers the fleet's feed without changes. The primaries' proof
+// lasts 3 s on any deployment; it must be renewed in time though one answer is lost, which shows
+// 0.7 s after it was due.
 constexpr Duration FleetWait = std::chrono::milliseconds(1800);
-constexpr Duration MemberWait = std::chrono::milliseconds(4000);
 // Followers are told that this VM lost the store after this long; by then it has tried another way.
 constexpr Duration LossNotice = std::chrono::milliseconds(300);
 
@@ -60,8 +59,9 @@
     const Scheduler scheduler = [this](Duration delay, std::function<void()> task) {
         schedule(delay, std::move(task));
     };
+    const DerivedTimes times = derivedTimes(settings);
     FollowSettings figures;
-    figures.wait = ConfigurationWait;
+    figures.wait = times.configurationWait;
     configurationFollower = std::make_unique<TableFollower>(
         followed, scheduler, platform::OperatorTable, figures,
         listenerOf(
@@ -72,7 +72,7 @@
                 traffic->prove(proofs);
                 relay.advanced(platform::OperatorTable, *configurationFollower);
             }));
-    figures.wait = MemberWait;
+    figures.wait = times.memberWait;
     memberFollower = std::make_unique<TableFollower>(
         followed, scheduler, platform::MemberTable, figures,
         listenerOf(
--- a/gentianplank/node/main.cc
+++ b/gentianplank/node/main.cc
@@ -5,6 +5,7 @@
 #include "gentianplank/node/traffic/traffic.h"
 #include "gentianplank/platform/names.h"
 #include "gentianplank/platform/process_settings.h"
+#include "gentianplank/settings/derived_times.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -117,6 +118,9 @@
                        {"vm", settings.name},
                        {"zone", settings.place.zone},
                        {"incarnation", incarnation}});
+    for (const std::string &it : tightBounds(settings)) {
+        logEvent("settings.tight", {{"bound", it}});
+    }
     const pthread_t mainThread = pthread_self();
     Control control(settings, incarnation);
     TrafficHandler handler;
--- a/gentianplank/node/traffic/caller_session.cc
+++ b/gentianplank/node/traffic/caller_session.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace gentianplank {
@@ -27,6 +28,9 @@
 // A message of at most this size is read whatever other sessions hold; nearly all are smaller.
 constexpr size_t SmallMessage = 16UL * 1024;
 constexpr Duration UnprovenHint = std::chrono::seconds(1);
+// A caller that has heard that its session started sends its first statement within this, from
+// another region too.
+constexpr Duration FirstStatementPause = std::chrono::milliseconds(150);
 // Session values and prepared statements of one session; more are refused.
 constexpr size_t MostNames = 1000;
 
@@ -95,6 +99,8 @@
     bool isProcessing = false;
 
     bool hasStarted = false;
+    Instant startedAt{};
+    bool hasAsked = false;
     std::string database;
     std::string key;
     std::string organisation;
@@ -219,6 +225,7 @@
     }
     timer.cancel();
     hasStarted = true;
+    startedAt = queryAtSteady;
     database = message.database;
     key = message.key;
     write(platform::encodeReady(TransactionState::Idle, {}), false);
@@ -230,6 +237,7 @@
         write(platform::encodeError(ErrorCode::Malformed, "the session has not started"), true);
         return;
     }
+    hasAsked = true;
     const TextStatement &statement = message.statement;
     if (session.values.size() + session.prepared.size() > MostNames) {
         write(platform::encodeError(ErrorCode::TooBig, "the session keeps too many names"), true);
@@ -311,7 +319,7 @@
     request.consistency = route.consistency;
     request.staleness = route.staleness;
     request.arrivedAt = queryAt;
-    request.deadline = queryAtSteady + route.timeout;
+    request.deadline = std::min(queryAtSteady + route.timeout, environment.latestAnswer);
     const auto commit = session.lastCommits.find(route.group);
     if (commit != session.lastCommits.end()) {
         request.lastCommit = commit->second;
@@ -491,7 +499,9 @@
 
 bool CallerSession::closeIfIdle(const std::string &reason)
 {
-    if (!isIdle()) {
+    const bool isNew =
+        !m_state->hasAsked && steadyNow() - m_state->startedAt < FirstStatementPause;
+    if (!isIdle() || isNew) {
         return false;
     }
     m_state->close(reason);
--- a/gentianplank/node/traffic/caller_session.h
+++ b/gentianplank/node/traffic/caller_session.h
@@ -39,6 +39,8 @@
     // Nothing while the VM has no configuration that is proven to be in force.
     std::function<std::shared_ptr<const Routing>()> provenRouting;
     std::shared_ptr<UnreadBudget> unread;
+    // Statements have their answers by then, for this VM ends soon after.
+    Instant latestAnswer = Instant::max();
     StatementRouter *router = nullptr;
     RateExchange *rates = nullptr;
     std::function<void(const std::string &vm, const std::string &member, uint64_t session)>
@@ -57,7 +59,8 @@
 
     void start();
 
-    // Closes the session if it rests outside a transaction. True when it did.
+    // Closes the session if it rests outside a transaction. True when it did. One that has just
+    // started gets a moment, since its first statement is on its way.
     bool closeIfIdle(const std::string &reason);
 
     // Rolls back a transaction that waits for its caller; the caller learns it when it goes on.
--- a/gentianplank/node/traffic/peer_mesh.cc
+++ b/gentianplank/node/traffic/peer_mesh.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <map>
+#include <unordered_set>
 
 namespace gentianplank {
 
@@ -306,11 +307,13 @@
         peer.record = it;
         m_state->peers[it.name] = std::move(peer);
     }
+    std::unordered_set<std::string_view> listed;
+    for (const VmRecord &it : vms) {
+        listed.insert(it.name);
+    }
     std::vector<std::string> gone;
     for (const auto &known : m_state->peers) {
-        const bool isListed = std::any_of(
-            vms.begin(), vms.end(), [&](const VmRecord &it) { return it.name == known.first; });
-        if (!isListed) {
+        if (listed.count(known.first) == 0) {
             gone.push_back(known.first);
         }
     }
--- a/gentianplank/node/traffic/rate_exchange.cc
+++ b/gentianplank/node/traffic/rate_exchange.cc
@@ -2,7 +2,6 @@
 
 #include "gentianplank/base/event_log.h"
 #include "gentianplank/base/rendezvous.h"
-#include "gentianplank/organisation/shared_rate.h"
 
 #include <algorithm>
 #include <deque>
@@ -17,9 +16,6 @@
 // A small rate has fewer, so that each part's burst is some tokens and not a piece of one.
 constexpr double LeastBurstOfPart = 5;
 constexpr size_t LeastOwners = 2;
-// A VM that lost its part, or its right to serve, has stopped using it after this long: longer than
-// a proof of the configuration lasts.
-constexpr Duration PartDelay = std::chrono::milliseconds(5200);
 // An operation waits this long for other VMs' tokens: more than the way to another region and back.
 constexpr Duration LongestWait = std::chrono::milliseconds(110);
 // An ask without an answer is forgotten after this long.
@@ -66,7 +62,10 @@
 
     std::string ownName;
     Place ownPlace;
+    PartDelays delays;
     RateExchangeEnvironment environment;
+    // The VMs of the last view, and how far they are.
+    std::vector<std::string> vms;
     std::map<std::string, Distance> distances;
     std::map<std::string, OrganisationState, std::less<>> organisations;
     bool hasView = false;
@@ -145,9 +144,11 @@
     }
 }
 
-RateExchange::RateExchange(std::string ownName, Place ownPlace, RateExchangeEnvironment environment)
+RateExchange::RateExchange(std::string ownName, Place ownPlace, const PartDelays &delays,
+                           RateExchangeEnvironment environment)
     : m_state(std::make_unique<State>())
 {
+    m_state->delays = delays;
     m_state->ownName = std::move(ownName);
     m_state->ownPlace = std::move(ownPlace);
     m_state->environment = std::move(environment);
@@ -161,11 +162,22 @@
         return;
     }
     std::vector<std::string> names;
+    names.reserve(view.vms.size());
     for (const VmRecord &it : view.vms) {
         names.push_back(it.name);
-        m_state->distances[it.name] = distanceBetween(it.place, m_state->ownPlace);
     }
-    const Duration firstDelay = view.wasKnownBefore ? Duration::zero() : PartDelay;
+    const bool areOtherVms = names != m_state->vms;
+    if (areOtherVms) {
+        m_state->vms = std::move(names);
+        m_state->distances.clear();
+        for (const VmRecord &it : view.vms) {
+            m_state->distances[it.name] = distanceBetween(it.place, m_state->ownPlace);
+        }
+    }
+    PartDelays firstDelays = m_state->delays;
+    if (view.wasKnownBefore) {
+        firstDelays.growth = Duration::zero();
+    }
     std::erase_if(m_state->organisations, [&](const auto &it) {
         return it.second.waiting.empty() && view.routing->organisations.count(it.first) == 0;
     });
@@ -174,18 +186,21 @@
         OrganisationState &organisation = m_state->organisations[name];
         const bool isOther = isNew || organisation.limits.perSecond != limits.perSecond ||
                              organisation.limits.burst != limits.burst;
+        // Ranking all VMs for each organisation is the costly part of a change of the view.
+        if (!isOther && !areOtherVms) {
+            continue;
+        }
         organisation.limits = limits;
-        organisation.owners = rankByRendezvous("rate/" + name, names);
         const auto wanted = static_cast<size_t>(limits.burst / LeastBurstOfPart);
         const size_t owners = std::clamp(wanted, LeastOwners, MostOwners);
-        organisation.owners.resize(std::min(organisation.owners.size(), owners));
+        organisation.owners = rankByRendezvous("rate/" + name, m_state->vms, owners);
         const bool isOwner = std::find(organisation.owners.begin(), organisation.owners.end(),
                                        m_state->ownName) != organisation.owners.end();
         const auto n = static_cast<double>(organisation.owners.size());
         const RatePart part =
             isOwner ? RatePart{limits.perSecond / n, limits.burst / n} : RatePart{};
         const bool isFirst = isNew && !m_state->hasView;
-        setPart(organisation.rate, part, now, isFirst ? firstDelay : PartDelay);
+        setPart(organisation.rate, part, now, isFirst ? firstDelays : m_state->delays);
         if (isOther) {
             logEvent("rate.limit", {{"organisation", name},
                                     {"revision", view.routing->revision},
@@ -198,6 +213,11 @@
     m_state->hasView = true;
 }
 
+void RateExchange::setDelays(const PartDelays &delays)
+{
+    m_state->delays = delays;
+}
+
 void RateExchange::admit(const std::string &organisation, AdmissionHandler done)
 {
     const Instant now = steadyNow();
--- a/gentianplank/node/traffic/rate_exchange.h
+++ b/gentianplank/node/traffic/rate_exchange.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "gentianplank/node/traffic/fleet_view.h"
+#include "gentianplank/organisation/shared_rate.h"
 #include "gentianplank/peer/proto/peer.pb.h"
 
 #include <functional>
@@ -26,12 +27,16 @@
 public:
     using AdmissionHandler = std::function<void(bool isAdmitted, Duration retryAfter)>;
 
-    RateExchange(std::string ownName, Place ownPlace, RateExchangeEnvironment environment);
+    RateExchange(std::string ownName, Place ownPlace, const PartDelays &delays,
+                 RateExchangeEnvironment environment);
     ~RateExchange();
 
     // Takes the organisations' limits, and who owns parts of them.
     void update(const FleetView &view, Instant now);
 
+    // Counts for parts that change from now on.
+    void setDelays(const PartDelays &delays);
+
     // Calls `done` at once when there is a token, or when there is no hope of one; otherwise when
     // other VMs have answered, after at most a tenth of a second.
     void admit(const std::string &organisation, AdmissionHandler done);
--- a/gentianplank/node/traffic/traffic.cc
+++ b/gentianplank/node/traffic/traffic.cc
@@ -15,23 +15,11 @@
 
 // Waits of statements are rounded up to this.
 constexpr Duration TickInterval = std::chrono::milliseconds(20);
-// A key may be used this much less than the platform allows after its withdrawal: the checks of a
-// statement and its way take some of it.
-constexpr Duration RevocationMargin = std::chrono::milliseconds(300);
 // A VM whose own proof of the groups' records is older than this asks its peers for theirs. The
 // feed renews it every 1.8 s.
 constexpr Duration ProofWanted = std::chrono::milliseconds(2000);
 // How long transactions may go on in an orderly change of their primary.
 constexpr Duration OrderlyPatience = std::chrono::milliseconds(400);
-// The balancer asks for readiness each second and leaves a VM alone after two misses; sessions
-// closed earlier would come back.
-constexpr Duration BalancerPause = std::chrono::milliseconds(2300);
-// A stopping VM dispatches for its members this long: another one may be far from them.
-constexpr Duration HandOverPause = std::chrono::milliseconds(1800);
-// A VM that stops ends this much before the platform would kill it.
-constexpr Duration GraceMargin = std::chrono::milliseconds(700);
-// A leaving member gets no new work this much before the platform's limit.
-constexpr Duration DrainMargin = std::chrono::milliseconds(2000);
 constexpr std::string_view MetricsPath = "/metrics";
 
 } // namespace
@@ -92,7 +80,7 @@
         std::make_unique<PeerMesh>(ioContext, settings.name, incarnation, std::move(meshHandler));
 
     rates = std::make_unique<RateExchange>(
-        settings.name, settings.place,
+        settings.name, settings.place, PartDelays{times.rateGrowth, times.rateLowering},
         RateExchangeEnvironment{[this](const std::string &vm) { return mesh->isReachable(vm); },
                                 [this](const std::string &vm, const peer::v1::Frame &frame) {
                                     return mesh->send(vm, frame);
@@ -183,8 +171,7 @@
 
 bool Traffic::State::hasProvenConfiguration() const
 {
-    return view->routing &&
-           bootNow() - proofs.configuration < settings.revocationLimit - RevocationMargin;
+    return view->routing && bootNow() - proofs.configuration < times.configurationProof;
 }
 
 bool Traffic::State::isReady() const
@@ -201,7 +188,7 @@
     const auto member = view->members.find(it->second.primary);
     const bool isLeavingTooLong =
         member != view->members.end() && member->second.leavingSince != BootInstant{} &&
-        bootNow() - member->second.leavingSince > settings.drainLimit - DrainMargin;
+        bootNow() - member->second.leavingSince > times.leavingUse;
     if (isLeavingTooLong) {
         return std::nullopt;
     }
@@ -366,6 +353,27 @@
     }
 }
 
+// Plans the stop by the grace and the routes of now.
+void Traffic::State::beginStop()
+{
+    if (stoppingSince) {
+        return;
+    }
+    const Duration longest = view->routing ? longestStatement(*view->routing) : Duration::zero();
+    stoppingSince = steadyNow();
+    stopSchedule = gentianplank::stopSchedule(settings.grace, longest);
+    sessionEnvironment.latestAnswer = *stoppingSince + stopSchedule.lastAnswer;
+    logEvent("stop.planned",
+             {{"grace_ms", toMilliseconds(settings.grace)},
+              {"longest_statement_ms", toMilliseconds(longest)},
+              {"hand_over_ms", toMilliseconds(stopSchedule.handOver)},
+              {"close_sessions_ms", toMilliseconds(stopSchedule.closeSessions)},
+              {"last_answer_ms", toMilliseconds(stopSchedule.lastAnswer)},
+              {"warning", stopSchedule.isTooShort ? "the grace is too short for the longest "
+                                                    "statement; some may be ended early"
+                                                  : ""}});
+}
+
 // Closes what rests once the balancer knows, ends transactions in time, then tells.
 void Traffic::State::checkStop(Instant now)
 {
@@ -373,17 +381,17 @@
         return;
     }
     const Duration since = now - *stoppingSince;
-    if (since > HandOverPause && !isHandedOver) {
+    if (since > stopSchedule.handOver && !isHandedOver) {
         isHandedOver = true;
         updateDispatchers();
         handler.onHandOver();
     }
-    if (since > settings.grace / 2) {
+    if (since > stopSchedule.endTransactions) {
         for (const auto &[number, session] : sessions) {
             session->abortTransaction("this VM stops");
         }
     }
-    if (since > BalancerPause) {
+    if (since > stopSchedule.closeSessions) {
         auto current = sessions;
         for (const auto &[number, session] : current) {
             session->closeIfIdle("this VM stops");
@@ -393,8 +401,7 @@
     for (const auto &[id, dispatcher] : dispatchers) {
         isIdle = isIdle && dispatcher->isIdle();
     }
-    const Duration last = settings.grace - GraceMargin;
-    if ((isIdle && since > BalancerPause) || since > last) {
+    if ((isIdle && since > stopSchedule.closeSessions) || since > stopSchedule.end) {
         hasStopped = true;
         logEvent("traffic.stopped", {{"open_sessions", sessions.size()}});
         handler.onStopped();
@@ -448,6 +455,8 @@
 {
     asio::post(m_state->ioContext, [state = m_state, settings] {
         state->settings = settings;
+        state->times = derivedTimes(settings);
+        state->rates->setDelays({state->times.rateGrowth, state->times.rateLowering});
         state->sessionEnvironment.unread->most = mostUnreadBytes(settings);
     });
 }
@@ -479,9 +488,7 @@
 void Traffic::stop()
 {
     asio::post(m_state->ioContext, [state = m_state] {
-        if (!state->stoppingSince) {
-            state->stoppingSince = steadyNow();
-        }
+        state->beginStop();
     });
 }
 
--- a/gentianplank/node/traffic/traffic_state.h
+++ b/gentianplank/node/traffic/traffic_state.h
@@ -13,6 +13,8 @@
 #include "gentianplank/node/traffic/peer_mesh.h"
 #include "gentianplank/node/traffic/rate_exchange.h"
 #include "gentianplank/node/traffic/statement_router.h"
+#include "gentianplank/settings/derived_times.h"
+#include "gentianplank/vm/stop_schedule.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -38,6 +40,7 @@
 {
     State(EntryVmSettings vmSettings, uint64_t number, TrafficHandler callbacks)
         : settings(std::move(vmSettings))
+        , times(derivedTimes(settings))
         , incarnation(number)
         , handler(std::move(callbacks))
         , tickTimer(ioContext)
@@ -76,9 +79,11 @@
     void release(const std::string &group, uint64_t epoch, bool isOrderly,
                  std::function<void()> done);
     void checkReleases(Instant now);
+    void beginStop();
     void checkStop(Instant now);
 
     EntryVmSettings settings;
+    DerivedTimes times;
     uint64_t incarnation;
     TrafficHandler handler;
     boost::asio::io_context ioContext;
@@ -115,6 +120,7 @@
     std::map<uint64_t, std::shared_ptr<CallerSession>> sessions;
     uint64_t nextSession = 1;
     std::optional<Instant> stoppingSince;
+    StopSchedule stopSchedule;
     // Other VMs dispatch for the members of this one.
     bool isHandedOver = false;
     bool hasStopped = false;
--- a/gentianplank/organisation/shared_rate.cc
+++ b/gentianplank/organisation/shared_rate.cc
@@ -94,14 +94,14 @@
 
 } // namespace
 
-void setPart(SharedRate &rate, const RatePart &part, Instant now, Duration delay)
+void setPart(SharedRate &rate, const RatePart &part, Instant now, const PartDelays &delays)
 {
     advance(rate, now);
     const RatePart lower{std::min(rate.part.perSecond, part.perSecond),
                          std::min(rate.part.burst, part.burst)};
     rate.part = lower;
     if (rate.tokens > part.burst) {
-        rate.clipAt = std::min(rate.clipAt, now + LoweringTime);
+        rate.clipAt = std::min(rate.clipAt, now + delays.lowering);
     }
     for (auto &[vm, claim] : rate.claims) {
         claim.reserved = std::min(claim.reserved, part.burst);
@@ -114,8 +114,8 @@
         return;
     }
     rate.nextPart = part;
-    rate.nextAt = now + delay;
-    if (delay <= Duration::zero()) {
+    rate.nextAt = now + delays.growth;
+    if (delays.growth <= Duration::zero()) {
         rate.part = part;
         rate.nextAt = Instant::max();
     }
--- a/gentianplank/organisation/shared_rate.h
+++ b/gentianplank/organisation/shared_rate.h
@@ -16,10 +16,6 @@
 
 namespace gentianplank {
 
-// How long tokens of a higher limit may be used after it was lowered. Half of the shortest time in
-// which a lowered limit has to bind.
-inline constexpr Duration LoweringTime = std::chrono::seconds(2);
-
 // How much of an organisation's rate one VM fills by itself.
 struct RatePart
 {
@@ -58,10 +54,20 @@
     std::map<std::string, RateClaim> claims;
 };
 
-// Sets the VM's part. A part that shrinks fills less at once, and tokens above its burst are lost
-// after LoweringTime, so that an organisation may use what it had been allowed. A part that grows
-// does so after `delay`, when every VM that filled it before has stopped.
-void setPart(SharedRate &rate, const RatePart &part, Instant now, Duration delay);
+// How soon parts change.
+struct PartDelays
+{
+    // Until a part grows: every VM that filled it before has stopped by then.
+    Duration growth{0};
+    // Until tokens above the burst of a part that shrank are lost, so that an organisation may use
+    // what it had been allowed.
+    Duration lowering{0};
+
+    bool operator==(const PartDelays &) const = default;
+};
+
+// Sets the VM's part. A part that shrinks fills less at once.
+void setPart(SharedRate &rate, const RatePart &part, Instant now, const PartDelays &delays);
 
 // Takes one token if there is one. Counts as demand either way.
 bool takeToken(SharedRate &rate, Instant now);
--- a/gentianplank/platform/process_settings_test.cc
+++ b/gentianplank/platform/process_settings_test.cc
@@ -29,6 +29,7 @@
 revoke-ms = 5000
 grace-s = 6
 drain-ms = 7000
+config-apply-ms = 4000
 [platform]
 address = "10.200.1.7:8466"
 [cloud-api]
@@ -52,6 +53,7 @@
     BOOST_TEST(settings->regionOfZone.at("b") == "s");
     BOOST_TEST((settings->revocationLimit == std::chrono::seconds(5)));
     BOOST_TEST((settings->grace == std::chrono::seconds(6)));
+    BOOST_TEST((settings->configurationLimit == std::chrono::seconds(4)));
 }
 
 BOOST_AUTO_TEST_CASE(everythingWrongIsReportedTogetherWithItsPlace)
--- a/gentianplank/settings/entry_vm_settings.h
+++ b/gentianplank/settings/entry_vm_settings.h
@@ -33,6 +33,8 @@
     Duration grace = std::chrono::seconds(6);
     // How long a leaving member may still get new work.
     Duration drainLimit = std::chrono::seconds(7);
+    // How soon a change of the configuration is in force.
+    Duration configurationLimit = std::chrono::seconds(4);
 
     bool operator==(const EntryVmSettings &) const = default;
 };
--- a/gentianplank/vm/fleet_records.cc
+++ b/gentianplank/vm/fleet_records.cc
@@ -77,9 +77,8 @@
     std::vector<const VmRecord *> ranked;
     for (const Distance distance :
          {Distance::SameZone, Distance::SameRegion, Distance::OtherRegion}) {
-        auto best = rankByRendezvous(memberId, names[distance]);
-        best.resize(std::min(best.size(), MostAtOneDistance));
-        for (const std::string &name : best) {
+        for (const std::string &name :
+             rankByRendezvous(memberId, names[distance], MostAtOneDistance)) {
             ranked.push_back(byName[name]);
         }
     }
