Publish what is known before peers are sent anything

Ruled out: lost answers, relays that stop, calls in the steady state. The notice of a change of primary had the same gap for VMs known since just now.

--- a/gentianplank/node/control/control.cc
+++ b/gentianplank/node/control/control.cc
@@ -32,7 +32,7 @@
         absentSince.erase(id);
         members.erase(id);
         logEvent("member.gone", {{"member", id}});
-        publishSoon();
+        publication.soon();
     }
     if (!isRegistered && fleetFollower->provenAt() != BootInstant{}) {
         registerVm();
--- a/gentianplank/node/control/control_duty.cc
+++ b/gentianplank/node/control/control_duty.cc
@@ -66,7 +66,7 @@
         holderAskedAt = now;
         peer::v1::Frame frame;
         frame.mutable_probe()->set_number(DutyProbe);
-        traffic->sendToPeer(duty.holder, frame);
+        sendToPeer(duty.holder, frame);
     }
     if (!isGone) {
         holderGoneAt = {};
@@ -141,7 +141,7 @@
     for (const std::string &name : vmsToAsk(absence, names, now)) {
         peer::v1::Frame frame;
         frame.mutable_probe()->set_number(LifeProbe);
-        traffic->sendToPeer(name, frame);
+        sendToPeer(name, frame);
     }
     for (const std::string &name : vmsGone(absence, now)) {
         eraseVm(name);
--- a/gentianplank/node/control/control_groups.cc
+++ b/gentianplank/node/control/control_groups.cc
@@ -161,7 +161,7 @@
         frame.mutable_epoch_notice()->set_epoch(epoch);
         frame.mutable_epoch_notice()->set_orderly(isOrderly);
         for (const auto &[name, record] : vms) {
-            traffic->sendToPeer(name, frame);
+            sendToPeer(name, frame);
         }
     };
     environment.store = [this](const GroupRecord &record, uint64_t version,
@@ -210,7 +210,7 @@
         peer::v1::Frame frame;
         frame.mutable_suspicion()->set_group(group);
         frame.mutable_suspicion()->set_member(member);
-        traffic->sendToPeer(duty.holder, frame);
+        sendToPeer(duty.holder, frame);
     }
 }
 
@@ -241,7 +241,7 @@
         frame.mutable_probe()->set_number(number);
         frame.mutable_probe()->set_group(group);
         frame.mutable_probe()->set_member(member);
-        traffic->sendToPeer(name, frame);
+        sendToPeer(name, frame);
     }
     probeMember(ioContext, entry->second.entry, [this, confirmation](const MemberProbe &probe) {
         confirmed(confirmation, probe.isReachable);
--- a/gentianplank/node/control/control_state.h
+++ b/gentianplank/node/control/control_state.h
@@ -5,6 +5,7 @@
 
 #include "gentianplank/node/control/control.h"
 
+#include "gentianplank/node/control/deferred_task.h"
 #include "gentianplank/node/control/feed_relay.h"
 #include "gentianplank/node/control/member_probe.h"
 #include "gentianplank/node/control/primary_change.h"
@@ -14,6 +15,7 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <map>
@@ -79,8 +81,8 @@
     void takeMembers(const std::vector<StoredRow> &rows);
     void takeFleet(const std::vector<StoredRow> &rows);
     void takeGroupRow(const StoredRow &row);
-    void publishSoon();
     void publish();
+    void sendToPeer(const std::string &vm, const peer::v1::Frame &frame);
 
     SecondHandEnvironment secondHandEnvironment();
     std::optional<RelayChoice> relayToFollow(const std::set<std::string> &avoided) const;
@@ -149,6 +151,9 @@
     std::map<std::string, VmRecord> vms;
     std::map<std::string, GroupState> groups;
     std::shared_ptr<const FleetView> view = std::make_shared<FleetView>();
+    DeferredTask publication{
+        [this](std::function<void()> task) { boost::asio::post(ioContext, std::move(task)); },
+        [this] { publish(); }};
     FleetProofs proofs;
     BootInstant memberProof{};
     BootInstant startedAt{};
@@ -157,7 +162,6 @@
     // The version of this VM's own row as it wrote it; 0 before.
     uint64_t ownRowVersion = 0;
     bool isFollowingAll = false;
-    bool isPublishing = false;
     bool isRegistering = false;
     bool isRegistered = false;
     bool wasKnownBefore = false;
--- a/gentianplank/node/control/control_store.cc
+++ b/gentianplank/node/control/control_store.cc
@@ -6,7 +6,6 @@
 #include "gentianplank/platform/names.h"
 #include "gentianplank/settings/derived_times.h"
 
-#include <boost/asio/post.hpp>
 
 #include <algorithm>
 
@@ -118,7 +117,7 @@
         return relayToFollow(avoided);
     };
     environment.send = [this](const std::string &vm, const peer::v1::Frame &frame) {
-        traffic->sendToPeer(vm, frame);
+        sendToPeer(vm, frame);
     };
     environment.schedule = [this](Duration delay, std::function<void()> task) {
         schedule(delay, std::move(task));
@@ -232,7 +231,7 @@
                                   {"primary", entry->claimsPrimary},
                                   {"row_version", row.version}});
     }
-    publishSoon();
+    publication.soon();
 }
 
 void Control::State::takeFleet(const std::vector<StoredRow> &rows)
@@ -267,7 +266,7 @@
             }
         }
     }
-    publishSoon();
+    publication.soon();
 }
 
 void Control::State::takeGroupRow(const StoredRow &row)
@@ -292,15 +291,12 @@
                               {"writer", record->writer}});
 }
 
-void Control::State::publishSoon()
+// The traffic thread links to peers of the view that it was given; a VM known since just now would
+// not be found there.
+void Control::State::sendToPeer(const std::string &vm, const peer::v1::Frame &frame)
 {
-    if (!isPublishing) {
-        isPublishing = true;
-        asio::post(ioContext, [this] {
-            isPublishing = false;
-            publish();
-        });
-    }
+    publication.flush();
+    traffic->sendToPeer(vm, frame);
 }
 
 void Control::State::publish()
@@ -338,7 +334,7 @@
                      if (result) {
                          ownRowVersion = *result;
                          vms[record.name] = record;
-                         publishSoon();
+                         publication.soon();
                      }
                      done(result.has_value());
                  });
