Fill the part of a VM that was known from its start

Test first: node_traffic_rate_exchange_test aPartOfAVmThatWasKnownFillsFromItsStart, 0 of 15 before.

--- a/gentianplank/node/traffic/rate_exchange.cc
+++ b/gentianplank/node/traffic/rate_exchange.cc
@@ -60,6 +60,7 @@
     void serveWaiting(OrganisationState &organisation, Instant now);
     static Duration hint(const OrganisationState &organisation);
 
+    Instant startedAt = steadyNow();
     std::string ownName;
     Place ownPlace;
     PartDelays delays;
@@ -200,7 +201,10 @@
         const RatePart part =
             isOwner ? RatePart{limits.perSecond / n, limits.burst / n} : RatePart{};
         const bool isFirst = isNew && !m_state->hasView;
-        setPart(organisation.rate, part, now, isFirst ? firstDelays : m_state->delays);
+        // Nobody else uses this VM's part while its process runs.
+        const bool isOwnAlready = isFirst && view.wasKnownBefore;
+        setPart(organisation.rate, part, isOwnAlready ? m_state->startedAt : now,
+                isFirst ? firstDelays : m_state->delays);
         if (isOther) {
             logEvent("rate.limit", {{"organisation", name},
                                     {"revision", view.routing->revision},
--- a/gentianplank/node/traffic/rate_exchange.h
+++ b/gentianplank/node/traffic/rate_exchange.h
@@ -27,6 +27,7 @@
 public:
     using AdmissionHandler = std::function<void(bool isAdmitted, Duration retryAfter)>;
 
+    // A VM that was known before fills its parts from here on, though it learns them later.
     RateExchange(std::string ownName, Place ownPlace, const PartDelays &delays,
                  RateExchangeEnvironment environment);
     ~RateExchange();
--- a/gentianplank/node/traffic/rate_exchange_test.cc
+++ b/gentianplank/node/traffic/rate_exchange_test.cc
@@ -145,6 +145,30 @@
     BOOST_TEST(fleet.admitted == before + 1);
 }
 
+// Pattern: after all VMs lost power, operations were refused for want of tokens that had been filled
+// while the process read the store.
+BOOST_AUTO_TEST_CASE(aPartOfAVmThatWasKnownFillsFromItsStart)
+{
+    auto routing = std::make_shared<Routing>();
+    routing->organisations["org"] = {"org", {}, 100, 50};
+    FleetView view;
+    view.routing = routing;
+    view.vms.push_back({"vm-0", "10.0.0.1:1", {"a", "r"}, 1, false});
+    const auto admittedAfter = [&](bool wasKnownBefore) {
+        RateExchange exchange("vm-0", {"a", "r"}, {5200ms, 2s}, {});
+        std::this_thread::sleep_for(200ms);
+        view.wasKnownBefore = wasKnownBefore;
+        exchange.update(view, steadyNow());
+        int admitted = 0;
+        for (int i = 0; i < 15; ++i) {
+            exchange.admit("org", [&](bool isAdmitted, Duration) { admitted += isAdmitted; });
+        }
+        return admitted;
+    };
+    BOOST_TEST(admittedAfter(true) == 15);
+    BOOST_TEST(admittedAfter(false) == 0);
+}
+
 BOOST_AUTO_TEST_CASE(anUnknownOrganisationIsRefused)
 {
     Fleet fleet(2, 10, 10);
