Let sessions wait for a process that starts

Test first: node_entry_test aSessionWaitsForAProcessThatStarts (BUSY before); without the store the wait ends after 1 s and is not repeated.

--- a/gentianplank/node/entry_test.cc
+++ b/gentianplank/node/entry_test.cc
@@ -200,6 +200,28 @@
 
 } // namespace
 
+// Pattern: all VMs lost power and came back; callers were turned away for the tenths of a second in
+// which the processes read the configuration, and had used up their tries then.
+BOOST_FIXTURE_TEST_CASE(aSessionWaitsForAProcessThatStarts, Fixture)
+{
+    Caller caller(first->callerAddress());
+    BOOST_TEST(caller.first("START main k1") == "READY I -");
+    BOOST_TEST(Caller(first->callerAddress()).first("START main k9").starts_with("ERROR NOAUTH"));
+}
+
+// Without the store, the wait ends.
+BOOST_FIXTURE_TEST_CASE(aSessionIsRefusedWhenAProcessStartsWithoutTheStore, Fixture)
+{
+    first = nullptr;
+    store.setFault(HttpTableStore::Fault::Busy);
+    first = std::make_unique<Vm>("vm-1", "a", store);
+    const auto begun = std::chrono::steady_clock::now();
+    Caller caller(first->callerAddress());
+    BOOST_TEST(caller.first("START main k1").starts_with("ERROR BUSY"));
+    BOOST_TEST((std::chrono::steady_clock::now() - begun < 1900ms));
+    BOOST_TEST(Caller(first->callerAddress()).first("START main k1").starts_with("ERROR BUSY"));
+}
+
 BOOST_FIXTURE_TEST_CASE(aSessionWritesAndReadsThroughAnyVm, Fixture)
 {
     for (const auto *vm : {first.get(), second.get()}) {
--- a/gentianplank/node/traffic/caller_session.cc
+++ b/gentianplank/node/traffic/caller_session.cc
@@ -70,6 +70,7 @@
     void countUnread();
     void process();
     void takeStart(const CallerMessage &message);
+    bool awaitRouting(const CallerMessage &message);
     void takeQuery(const CallerMessage &message);
     void forward(const SessionStep &step, const TextStatement &statement);
     void admitted(const SessionStep &step, const TextStatement &statement,
@@ -98,6 +99,7 @@
     bool isEnding = false;
     bool isProcessing = false;
 
+    bool hasWaited = false;
     bool hasStarted = false;
     Instant startedAt{};
     bool hasAsked = false;
@@ -208,6 +210,9 @@
                  {{"session", number}, {"database", message.database}, {"why", reason}});
         write(platform::encodeError(code, reason), true);
     };
+    if (!routing && awaitRouting(message)) {
+        return;
+    }
     if (!routing) {
         refuseStart(ErrorCode::Busy,
                     withHint("the configuration is not proven to be in force", UnprovenHint));
@@ -231,6 +236,27 @@
     write(platform::encodeReady(TransactionState::Idle, {}), false);
 }
 
+// Lets the session wait while this VM's process starts: the configuration takes some tenths of a
+// second, which is less than coming back does.
+bool CallerSession::State::awaitRouting(const CallerMessage &message)
+{
+    if (hasWaited || !environment.awaitRouting) {
+        return false;
+    }
+    const bool isExpected = environment.awaitRouting([owner = self.lock(), message] {
+        State &state = *owner->m_state;
+        if (state.isClosed) {
+            return;
+        }
+        state.isBusy = false;
+        state.takeStart(message);
+        state.process();
+    });
+    hasWaited = isExpected;
+    isBusy = isExpected;
+    return isExpected;
+}
+
 void CallerSession::State::takeQuery(const CallerMessage &message)
 {
     if (!hasStarted) {
--- a/gentianplank/node/traffic/caller_session.h
+++ b/gentianplank/node/traffic/caller_session.h
@@ -38,6 +38,9 @@
 {
     // Nothing while the VM has no configuration that is proven to be in force.
     std::function<std::shared_ptr<const Routing>()> provenRouting;
+    // Calls back when there is a proven configuration, or after a moment without one. False, and
+    // no call, where none is expected soon.
+    std::function<bool(std::function<void()> resume)> awaitRouting;
     std::shared_ptr<UnreadBudget> unread;
     // Statements have their answers by then, for this VM ends soon after.
     Instant latestAnswer = Instant::max();
--- a/gentianplank/node/traffic/traffic.cc
+++ b/gentianplank/node/traffic/traffic.cc
@@ -20,6 +20,9 @@
 constexpr Duration ProofWanted = std::chrono::milliseconds(2000);
 // How long transactions may go on in an orderly change of their primary.
 constexpr Duration OrderlyPatience = std::chrono::milliseconds(400);
+// A process that starts has a proven configuration within this, unless the store is away. Callers
+// give a session that starts 2 s.
+constexpr Duration StartPatience = std::chrono::milliseconds(1000);
 constexpr std::string_view MetricsPath = "/metrics";
 
 } // namespace
@@ -106,6 +109,13 @@
     sessionEnvironment.provenRouting = [this]() -> std::shared_ptr<const Routing> {
         return hasProvenConfiguration() ? view->routing : nullptr;
     };
+    sessionEnvironment.awaitRouting = [this](std::function<void()> resume) {
+        if (hasBeenProven || steadyNow() - startedAt >= StartPatience) {
+            return false;
+        }
+        waitingStarts.push_back(std::move(resume));
+        return true;
+    };
     sessionEnvironment.unread = std::make_shared<UnreadBudget>();
     sessionEnvironment.unread->most = mostUnreadBytes(settings);
     sessionEnvironment.router = router.get();
@@ -157,6 +167,7 @@
     }
     checkReleases(now);
     askSamples(now);
+    resumeStarts();
     const bool isProven = hasProvenConfiguration();
     if (isProven != wasProven) {
         wasProven = isProven;
@@ -169,6 +180,16 @@
     }
 }
 
+void Traffic::State::resumeStarts()
+{
+    hasBeenProven = hasBeenProven || hasProvenConfiguration();
+    if (hasBeenProven || steadyNow() - startedAt >= StartPatience) {
+        for (const auto &resume : std::exchange(waitingStarts, {})) {
+            resume();
+        }
+    }
+}
+
 bool Traffic::State::hasProvenConfiguration() const
 {
     return view->routing && bootNow() - proofs.configuration < times.configurationProof;
@@ -443,12 +464,16 @@
         state->rates->update(*view, steadyNow());
         state->updateDispatchers();
         state->router->retryWaiting();
+        state->resumeStarts();
     });
 }
 
 void Traffic::prove(const FleetProofs &proofs)
 {
-    asio::post(m_state->ioContext, [state = m_state, proofs] { state->proofs = proofs; });
+    asio::post(m_state->ioContext, [state = m_state, proofs] {
+        state->proofs = proofs;
+        state->resumeStarts();
+    });
 }
 
 void Traffic::applySettings(const EntryVmSettings &settings)
--- a/gentianplank/node/traffic/traffic_state.h
+++ b/gentianplank/node/traffic/traffic_state.h
@@ -57,6 +57,8 @@
     void tick();
 
     bool hasProvenConfiguration() const;
+    // Goes on with sessions that wait for the first proof, or for the end of their patience.
+    void resumeStarts();
     bool isReady() const;
     std::optional<GroupRecord> usablePrimary(const std::string &group) const;
     bool mayUsePrimary(const std::string &group, uint64_t epoch) const;
@@ -102,6 +104,10 @@
     DispatchTable dispatchTable;
     FleetProofs proofs;
     bool wasProven = false;
+    // Since this process runs, and whether it has had a proven configuration.
+    Instant startedAt = steadyNow();
+    bool hasBeenProven = false;
+    std::vector<std::function<void()>> waitingStarts;
     // Positions of the primaries, for the reads that this VM dispatches.
     std::map<std::string, PositionHistory> histories;
     struct SampleQuestion
