Leave a member room for the next dispatcher

Ruled out: rates (a tenth of the refusals), sessions turned away (none any more). Test first: node_traffic_member_dispatcher_test aMemberHasRoomForTheNextDispatcher (14 connections of 16 before).

--- a/gentianplank/node/traffic/member_dispatcher_links.cc
+++ b/gentianplank/node/traffic/member_dispatcher_links.cc
@@ -26,6 +26,10 @@
 // Several times the way within a region and back.
 constexpr Duration LifeCheckTimeout = std::chrono::milliseconds(250);
 
+// Of a member's connections, this part stays open for want of use; a few do however many are in use.
+constexpr size_t KeptDivisor = 2;
+constexpr size_t LeastIdle = 2;
+
 std::string preparedName(const PreparedStatement &statement)
 {
     return (statement.writes ? "w-" : "r-") + statement.shape;
@@ -132,13 +136,25 @@
 void MemberDispatcher::State::park(const std::shared_ptr<MemberLink> &link,
                                    const std::string &organisation)
 {
-    if (link->isOpen()) {
-        idle.push_back({link, organisation, steadyNow()});
-    } else {
+    if (!link->isOpen()) {
         drop(link);
+        return;
+    }
+    idle.push_back({link, organisation, steadyNow()});
+    while (idle.size() > mostIdle()) {
+        drop(idle.front().link);
     }
 }
 
+// A member holds the connections of a VM that lost power for seconds; whoever dispatches next needs
+// room beside them.
+size_t MemberDispatcher::State::mostIdle() const
+{
+    const size_t kept = limits.connections / KeptDivisor;
+    const size_t inUse = links.size() - idle.size();
+    return std::max(LeastIdle, kept - std::min(kept, inUse));
+}
+
 void MemberDispatcher::State::drop(const std::shared_ptr<MemberLink> &link)
 {
     std::erase(links, link);
--- a/gentianplank/node/traffic/member_dispatcher_state.h
+++ b/gentianplank/node/traffic/member_dispatcher_state.h
@@ -104,6 +104,7 @@
     void opened(const JobPointer &job, const MemberReply &reply);
     void openFailed(const JobPointer &job, const MemberReply &reply);
     void park(const std::shared_ptr<MemberLink> &link, const std::string &organisation);
+    size_t mostIdle() const;
     void drop(const std::shared_ptr<MemberLink> &link);
     void rollBack(const std::shared_ptr<MemberLink> &link, const std::string &organisation);
     uint32_t connectionCap(Instant now) const;
--- a/gentianplank/node/traffic/member_dispatcher_test.cc
+++ b/gentianplank/node/traffic/member_dispatcher_test.cc
@@ -120,6 +120,29 @@
 
 // Pinned statements: what runs on a connection sees the values of its session only, and names
 // prepared for it.
+// Pattern: all VMs lost power; members held the connections of the old processes for 3 s, which
+// were all that they take, and turned the new processes away.
+BOOST_FIXTURE_TEST_CASE(aMemberHasRoomForTheNextDispatcher, Fixture)
+{
+    for (uint64_t i = 0; i < 14; ++i) {
+        auto it = statement(i, "WRITE a 1", ForwardKind::Write);
+        it.organisation = "org-" + std::to_string(i);
+        run(it);
+    }
+    pause(20ms);
+    BOOST_TEST(group.connections(0) <= 8U);
+    // Connections in use may be more.
+    for (uint64_t i = 20; i < 30; ++i) {
+        auto it = statement(i, "READ a", ForwardKind::Read);
+        it.opensTransaction = true;
+        BOOST_TEST(!run(it).code);
+    }
+    BOOST_TEST(group.connections(0) >= 10U);
+    dispatcher->endOrigin(1);
+    pause(50ms);
+    BOOST_TEST(group.connections(0) <= 8U);
+}
+
 BOOST_FIXTURE_TEST_CASE(aConnectionTakesOnTheValuesOfEachSession, Fixture)
 {
     ForwardedStatement first = statement(1, "READ a", ForwardKind::Read);
