Renew proofs each second

Ruled out: rates, members, relays (both regions' heads had lost the store). Test first: settings_derived_times_test aProofIsYoungWhenTheStoreFallsSilent (2.9 s before).

--- a/gentianplank/node/control/control_store.cc
+++ b/gentianplank/node/control/control_store.cc
@@ -16,9 +16,8 @@
 namespace {
 
 // How long the store waits before it answers the fleet's feed without changes. The primaries' proof
-// lasts 3 s on any deployment; it must be renewed in time though one answer is lost, which shows
-// 0.7 s after it was due.
-constexpr Duration FleetWait = std::chrono::milliseconds(1800);
+// lasts 3 s on any deployment; what it is older when the store falls silent is lost of that time.
+constexpr Duration FleetWait = std::chrono::milliseconds(900);
 // Followers are told that this VM lost the store after this long; by then it has tried another way.
 constexpr Duration LossNotice = std::chrono::milliseconds(300);
 
--- a/gentianplank/settings/derived_times.cc
+++ b/gentianplank/settings/derived_times.cc
@@ -14,7 +14,9 @@
 constexpr int ShortestWaitDivisor = 3;
 // Longer waits save nothing worth having, and the store's history ends.
 constexpr Duration LongestWait = std::chrono::seconds(4);
-constexpr Duration LongestConfigurationWait = std::chrono::milliseconds(2900);
+// What a proof is older when the store falls silent is lost of the time that this VM may serve on.
+// Only the first VM of a region calls, so that shorter waits cost a few calls.
+constexpr Duration LongestConfigurationWait = std::chrono::milliseconds(1000);
 // A leaving member's mark may be known late by one lost answer.
 constexpr Duration DrainMargin = std::chrono::milliseconds(2000);
 // Of a short limit the margins and waits take these parts, in sevenths.
--- a/gentianplank/settings/derived_times_test.cc
+++ b/gentianplank/settings/derived_times_test.cc
@@ -30,6 +30,18 @@
     }
 }
 
+// Pattern: the store fell silent for 4 s; proofs were up to 2.9 s old then, so that statements were
+// refused from 1.8 s on.
+BOOST_AUTO_TEST_CASE(aProofIsYoungWhenTheStoreFallsSilent)
+{
+    for (const Duration limit : {5000ms, 10'000ms, 60'000ms}) {
+        const DerivedTimes times = derivedTimes(settingsWith(limit, 7s, 4s));
+        // The way of the answer over two relays included, seven tenths of the limit are left.
+        BOOST_TEST((times.configurationWait + 100ms <= limit / 4));
+        BOOST_TEST((times.configurationProof - times.configurationWait >= limit * 7 / 10));
+    }
+}
+
 // Pattern: parts of rates grew 5.2 s after a change; with a revocation limit of 10 s, a VM that was
 // cut off filled its old part for 4.5 s more.
 BOOST_AUTO_TEST_CASE(aPartOfARateGrowsOnlyWhenOldProofsHaveLapsed)
