--- a/gentianplank/settings/derived_times.cc
+++ b/gentianplank/settings/derived_times.cc
@@ -16,7 +16,7 @@
 constexpr Duration LongestWait = std::chrono::seconds(4);
 // What a proof is older when the store falls silent is lost of the time that this VM may serve on.
 // Only the first VM of a region calls, so that shorter waits cost a few calls.
-constexpr Duration LongestConfigurationWait = std::chrono::milliseconds(1000);
+constexpr Duration LongestConfigurationWait = std::chrono::milliseconds(1500);
 // A leaving member's mark may be known late by one lost answer.
 constexpr Duration DrainMargin = std::chrono::milliseconds(2000);
 // Of a short limit the margins and waits take these parts, in sevenths.
