--- a/gentianplank/node/control/control_store.cc
+++ b/gentianplank/node/control/control_store.cc
@@ -17,7 +17,7 @@
 
 // How long the store waits before it answers the fleet's feed without changes. The primaries' proof
 // lasts 3 s on any deployment; what it is older when the store falls silent is lost of that time.
-constexpr Duration FleetWait = std::chrono::milliseconds(1200);
+constexpr Duration FleetWait = std::chrono::milliseconds(900);
 // Followers are told that this VM lost the store after this long; by then it has tried another way.
 constexpr Duration LossNotice = std::chrono::milliseconds(300);
 
--- a/gentianplank/node/traffic/traffic.cc
+++ b/gentianplank/node/traffic/traffic.cc
@@ -16,8 +16,8 @@
 // Waits of statements are rounded up to this.
 constexpr Duration TickInterval = std::chrono::milliseconds(20);
 // A VM whose own proof of the groups' records is older than this asks its peers for theirs. The
-// feed renews it every 1.2 s.
-constexpr Duration ProofWanted = std::chrono::milliseconds(1600);
+// feed renews it every 0.9 s.
+constexpr Duration ProofWanted = std::chrono::milliseconds(1400);
 // How long transactions may go on in an orderly change of their primary.
 constexpr Duration OrderlyPatience = std::chrono::milliseconds(400);
 // A process that starts has a proven configuration within this, unless the store is away. Callers
