Keep the owners of rates to a few VMs of each region

Ruled out: owners without tokens alone (their two parts hold what such an organisation asks for). Test first: node_traffic_rate_exchange_test aVmOfALargeFleetAsksFewOthersAndThoseOfItsRegionFirst (121 VMs asked, 57 in the far region, before). Fleets of up to 8 VMs are as before.

--- a/gentianplank/node/traffic/rate_exchange.cc
+++ b/gentianplank/node/traffic/rate_exchange.cc
@@ -16,6 +16,12 @@
 // A small rate has fewer, so that each part's burst is some tokens and not a piece of one.
 constexpr double LeastBurstOfPart = 5;
 constexpr size_t LeastOwners = 2;
+// In a fleet of more VMs than that, owners are chosen among a few of each region, so that a VM keeps
+// links to those only and they are open when an operation needs a token: at least the first
+// figure, and one of so many VMs.
+constexpr size_t LeastHomes = 8;
+constexpr size_t VmsPerHome = 16;
+constexpr char HomesKey[] = "rates";
 // An operation waits this long for other VMs' tokens: more than the way to another region and back.
 constexpr Duration LongestWait = std::chrono::milliseconds(110);
 // An ask without an answer is forgotten after this long.
@@ -51,6 +57,35 @@
     Instant refusedAt{};
 };
 
+// VMs that may own parts of rates, by region; one list of all VMs in a small fleet.
+using Homes = std::vector<std::vector<std::string>>;
+
+Homes homesOf(std::span<const VmRecord> vms)
+{
+    std::map<std::string, std::vector<std::string>> byRegion;
+    for (const VmRecord &it : vms) {
+        byRegion[vms.size() > MostOwners ? it.place.region : ""].push_back(it.name);
+    }
+    Homes homes;
+    for (const auto &[region, names] : byRegion) {
+        homes.push_back(
+            rankByRendezvous(HomesKey, names, std::max(LeastHomes, names.size() / VmsPerHome)));
+    }
+    return homes;
+}
+
+// The owners of a rate: as many in each region, and at least one.
+std::vector<std::string> ownersOf(const std::string &key, const Homes &homes, size_t wanted)
+{
+    std::vector<std::string> owners;
+    const size_t each = std::max<size_t>(1, wanted / std::max<size_t>(1, homes.size()));
+    for (const auto &names : homes) {
+        const auto chosen = rankByRendezvous(key, names, each);
+        owners.insert(owners.end(), chosen.begin(), chosen.end());
+    }
+    return owners;
+}
+
 } // namespace
 
 struct RateExchange::State
@@ -67,6 +102,7 @@
     RateExchangeEnvironment environment;
     // The VMs of the last view, and how far they are.
     std::vector<std::string> vms;
+    Homes homes;
     std::map<std::string, Distance> distances;
     std::map<std::string, OrganisationState, std::less<>> organisations;
     bool hasView = false;
@@ -170,6 +206,7 @@
     const bool areOtherVms = names != m_state->vms;
     if (areOtherVms) {
         m_state->vms = std::move(names);
+        m_state->homes = homesOf(view.vms);
         m_state->distances.clear();
         for (const VmRecord &it : view.vms) {
             m_state->distances[it.name] = distanceBetween(it.place, m_state->ownPlace);
@@ -194,7 +231,7 @@
         organisation.limits = limits;
         const auto wanted = static_cast<size_t>(limits.burst / LeastBurstOfPart);
         const size_t owners = std::clamp(wanted, LeastOwners, MostOwners);
-        organisation.owners = rankByRendezvous("rate/" + name, m_state->vms, owners);
+        organisation.owners = ownersOf("rate/" + name, m_state->homes, owners);
         const bool isOwner = std::find(organisation.owners.begin(), organisation.owners.end(),
                                        m_state->ownName) != organisation.owners.end();
         const auto n = static_cast<double>(organisation.owners.size());
--- a/gentianplank/node/traffic/rate_exchange_test.cc
+++ b/gentianplank/node/traffic/rate_exchange_test.cc
@@ -169,6 +169,46 @@
     BOOST_TEST(admittedAfter(false) == 0);
 }
 
+// Pattern: 190 organisations with small rates over 295 VMs; each operation asked an owner somewhere in
+// the fleet over a link that had to be opened first, often a region away, and a quarter of them waited
+// for more than 100 ms.
+BOOST_AUTO_TEST_CASE(aVmOfALargeFleetAsksFewOthersAndThoseOfItsRegionFirst)
+{
+    auto routing = std::make_shared<Routing>();
+    for (int i = 0; i < 200; ++i) {
+        const std::string name = "org-" + std::to_string(i);
+        routing->organisations[name] = {name, {}, 5, 5};
+    }
+    FleetView view;
+    view.routing = routing;
+    view.wasKnownBefore = true;
+    std::map<std::string, std::string> regionOf;
+    for (int i = 0; i < 200; ++i) {
+        const std::string region = i % 2 == 0 ? "near" : "far";
+        const std::string name = "vm-" + std::to_string(i);
+        view.vms.push_back({name, "10.0.0.1:1", {region + "-zone", region}, 1, false});
+        regionOf[name] = region;
+    }
+    std::set<std::string> asked;
+    int far = 0;
+    RateExchangeEnvironment environment;
+    environment.isReachable = [](const std::string &) { return true; };
+    environment.send = [&](const std::string &vm, const peer::v1::Frame &) {
+        asked.insert(vm);
+        far += regionOf[vm] == "far" ? 1 : 0;
+        return true;
+    };
+    // Owns no part itself.
+    RateExchange exchange("caller", {"near-zone", "near"}, {5200ms, 2s}, environment);
+    exchange.update(view, steadyNow());
+    for (const auto &[name, limits] : routing->organisations) {
+        exchange.admit(name, [](bool, Duration) {});
+    }
+    BOOST_TEST(far == 0);
+    BOOST_TEST(asked.size() >= 4U);
+    BOOST_TEST(asked.size() <= 8U);
+}
+
 BOOST_AUTO_TEST_CASE(anUnknownOrganisationIsRefused)
 {
     Fleet fleet(2, 10, 10);
