--- a/gentianplank/node/control/control_store.cc
+++ b/gentianplank/node/control/control_store.cc
@@ -6,7 +6,6 @@
 #include "gentianplank/platform/names.h"
 #include "gentianplank/settings/derived_times.h"
 
-
 #include <algorithm>
 
 namespace gentianplank {
--- a/gentianplank/node/control/deferred_task.h
+++ b/gentianplank/node/control/deferred_task.h
@@ -1,5 +1,5 @@
-// A task that several reasons may ask for and that runs once for all of them: soon, or at once where
-// something else must come after it.
+// A task that several reasons may ask for and that runs once for all of them: soon, or at once
+// where something else must come after it.
 //
 //     DeferredTask publication(post, [this] { publish(); });
 //     publication.soon();
--- a/gentianplank/node/traffic/caller_session.cc
+++ b/gentianplank/node/traffic/caller_session.cc
@@ -525,8 +525,7 @@
 
 bool CallerSession::closeIfIdle(const std::string &reason)
 {
-    const bool isNew =
-        !m_state->hasAsked && steadyNow() - m_state->startedAt < FirstStatementPause;
+    const bool isNew = !m_state->hasAsked && steadyNow() - m_state->startedAt < FirstStatementPause;
     if (!isIdle() || isNew) {
         return false;
     }
--- a/gentianplank/node/traffic/member_dispatcher_links.cc
+++ b/gentianplank/node/traffic/member_dispatcher_links.cc
@@ -26,7 +26,8 @@
 // Several times the way within a region and back.
 constexpr Duration LifeCheckTimeout = std::chrono::milliseconds(250);
 
-// Of a member's connections, this part stays open for want of use; a few do however many are in use.
+// Of a member's connections, this part stays open for want of use; a few do however many are in
+// use.
 constexpr size_t KeptDivisor = 2;
 constexpr size_t LeastIdle = 2;
 
--- a/gentianplank/node/traffic/rate_exchange.cc
+++ b/gentianplank/node/traffic/rate_exchange.cc
@@ -16,8 +16,8 @@
 // A small rate has fewer, so that each part's burst is some tokens and not a piece of one.
 constexpr double LeastBurstOfPart = 5;
 constexpr size_t LeastOwners = 2;
-// In a fleet of more VMs than that, owners are chosen among a few of each region, so that a VM keeps
-// links to those only and they are open when an operation needs a token: at least the first
+// In a fleet of more VMs than that, owners are chosen among a few of each region, so that a VM
+// keeps links to those only and they are open when an operation needs a token: at least the first
 // figure, and one of so many VMs.
 constexpr size_t LeastHomes = 8;
 constexpr size_t VmsPerHome = 16;
--- a/gentianplank/node/traffic/rate_exchange_test.cc
+++ b/gentianplank/node/traffic/rate_exchange_test.cc
@@ -31,9 +31,8 @@
                 frames.push_back({from, to, frame});
                 return true;
             };
-            vms[it.name] =
-                std::make_unique<RateExchange>(it.name, it.place, PartDelays{5200ms, 2s},
-                                               std::move(environment));
+            vms[it.name] = std::make_unique<RateExchange>(it.name, it.place, PartDelays{5200ms, 2s},
+                                                          std::move(environment));
             vms[it.name]->update(view, steadyNow());
         }
     }
@@ -145,8 +144,8 @@
     BOOST_TEST(fleet.admitted == before + 1);
 }
 
-// Pattern: after all VMs lost power, operations were refused for want of tokens that had been filled
-// while the process read the store.
+// Pattern: after all VMs lost power, operations were refused for want of tokens that had been
+// filled while the process read the store.
 BOOST_AUTO_TEST_CASE(aPartOfAVmThatWasKnownFillsFromItsStart)
 {
     auto routing = std::make_shared<Routing>();
@@ -169,9 +168,9 @@
     BOOST_TEST(admittedAfter(false) == 0);
 }
 
-// Pattern: 190 organisations with small rates over 295 VMs; each operation asked an owner somewhere in
-// the fleet over a link that had to be opened first, often a region away, and a quarter of them waited
-// for more than 100 ms.
+// Pattern: 190 organisations with small rates over 295 VMs; each operation asked an owner somewhere
+// in the fleet over a link that had to be opened first, often a region away, and a quarter of them
+// waited for more than 100 ms.
 BOOST_AUTO_TEST_CASE(aVmOfALargeFleetAsksFewOthersAndThoseOfItsRegionFirst)
 {
     auto routing = std::make_shared<Routing>();
--- a/gentianplank/node/traffic/traffic.cc
+++ b/gentianplank/node/traffic/traffic.cc
@@ -207,9 +207,9 @@
         return std::nullopt;
     }
     const auto member = view->members.find(it->second.primary);
-    const bool isLeavingTooLong =
-        member != view->members.end() && member->second.leavingSince != BootInstant{} &&
-        bootNow() - member->second.leavingSince > times.leavingUse;
+    const bool isLeavingTooLong = member != view->members.end() &&
+                                  member->second.leavingSince != BootInstant{} &&
+                                  bootNow() - member->second.leavingSince > times.leavingUse;
     if (isLeavingTooLong) {
         return std::nullopt;
     }
@@ -512,9 +512,7 @@
 
 void Traffic::stop()
 {
-    asio::post(m_state->ioContext, [state = m_state] {
-        state->beginStop();
-    });
+    asio::post(m_state->ioContext, [state = m_state] { state->beginStop(); });
 }
 
 void Traffic::join()
--- a/gentianplank/settings/derived_times.cc
+++ b/gentianplank/settings/derived_times.cc
@@ -41,10 +41,9 @@
     const Duration revocation = settings.revocationLimit;
     times.configurationProof =
         revocation - std::min(RevocationMargin, revocation / RevocationMarginDivisor);
-    times.configurationWait =
-        std::min(LongestConfigurationWait,
-                 std::max(times.configurationProof - RenewalTime,
-                          times.configurationProof / ShortestWaitDivisor));
+    times.configurationWait = std::min(LongestConfigurationWait,
+                                       std::max(times.configurationProof - RenewalTime,
+                                                times.configurationProof / ShortestWaitDivisor));
     const Duration drain = settings.drainLimit;
     times.memberWait = std::min(LongestWait, drain * MemberWaitParts / DrainParts);
     times.leavingUse = drain - std::min(DrainMargin, drain * DrainMarginParts / DrainParts);
