Send nothing over a link that was given up

Ruled out: an answer lost on the way, a retry of the caller (one request id, one attempt). The race is as old as the links; 295 VMs on an eighth of a core make it likely after a loss of power.

--- a/gentianplank/node/traffic/peer_mesh.cc
+++ b/gentianplank/node/traffic/peer_mesh.cc
@@ -266,8 +266,10 @@
 {
     if (peer.link) {
         const auto link = peer.link;
-        linkClosed(peer.record.name, link, link->isOpen(), reason);
+        const bool wasOpen = link->isOpen();
+        // Before its calls are called not run, since nothing may leave after that.
         link->close(reason);
+        linkClosed(peer.record.name, link, wasOpen, reason);
     }
 }
 
--- a/gentianplank/peer/peer_link.cc
+++ b/gentianplank/peer/peer_link.cc
@@ -65,6 +65,9 @@
     std::string queued;
     std::string peerName;
     bool isOpen = false;
+    // It was given up; the socket is closed soon. Nothing is sent or taken from then on, since what
+    // was queued may have been called not run.
+    bool isGivenUp = false;
     bool isClosed = false;
 };
 
@@ -88,7 +91,7 @@
         }
     });
     link->m_state->socket.async_connect(endpoint, [link](error_code ec) {
-        if (link->m_state->isClosed) {
+        if (link->m_state->isGivenUp || link->m_state->isClosed) {
             return;
         }
         if (ec) {
@@ -117,7 +120,7 @@
 
 void PeerLink::send(const peer::v1::Frame &frame)
 {
-    if (m_state->isClosed) {
+    if (m_state->isGivenUp || m_state->isClosed) {
         return;
     }
     m_state->queued += encodeFrame(frame);
@@ -130,13 +133,14 @@
 
 void PeerLink::close(const std::string &reason)
 {
+    m_state->isGivenUp = true;
     asio::post(m_state->socket.get_executor(),
                [self = shared_from_this(), reason] { self->fail(reason); });
 }
 
 bool PeerLink::isOpen() const
 {
-    return m_state->isOpen && !m_state->isClosed;
+    return m_state->isOpen && !m_state->isGivenUp && !m_state->isClosed;
 }
 
 const std::string &PeerLink::peerName() const
@@ -159,7 +163,7 @@
             }
             self->m_state->received.append(self->m_state->chunk.data(), n);
             self->readFrames();
-            if (!self->m_state->isClosed) {
+            if (!self->m_state->isGivenUp && !self->m_state->isClosed) {
                 self->read();
             }
         });
@@ -169,7 +173,7 @@
 {
     std::string &received = m_state->received;
     size_t start = 0;
-    while (!m_state->isClosed && received.size() - start >= LengthBytes) {
+    while (!m_state->isGivenUp && !m_state->isClosed && received.size() - start >= LengthBytes) {
         const size_t size = decodeLength(received.data() + start);
         if (size > LargestFrame) {
             fail("a frame of " + std::to_string(size) + " bytes");
@@ -191,7 +195,8 @@
 
 void PeerLink::write()
 {
-    if (!m_state->writing.empty() || m_state->queued.empty() || !m_state->isOpen) {
+    if (!m_state->writing.empty() || m_state->queued.empty() || !m_state->isOpen ||
+        m_state->isGivenUp) {
         return;
     }
     std::swap(m_state->writing, m_state->queued);
--- a/gentianplank/peer/peer_link_test.cc
+++ b/gentianplank/peer/peer_link_test.cc
@@ -1,10 +1,12 @@
 #include "gentianplank/peer/peer_link.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <optional>
+#include <thread>
 
 using namespace gentianplank;
 using namespace std::chrono_literals;
@@ -23,8 +25,9 @@
                 return;
             }
             PeerLinkHandler handler;
-            handler.onFrame = [](const std::shared_ptr<PeerLink> &from,
-                                 const peer::v1::Frame &frame) {
+            handler.onFrame = [this](const std::shared_ptr<PeerLink> &from,
+                                     const peer::v1::Frame &frame) {
+                ++frames;
                 peer::v1::Frame reply;
                 reply.mutable_pong()->set_number(frame.ping().number());
                 from->send(reply);
@@ -38,6 +41,7 @@
     asio::ip::tcp::acceptor acceptor;
     std::shared_ptr<PeerLink> link;
     int closed = 0;
+    int frames = 0;
 };
 
 template <typename Condition>
@@ -102,3 +106,34 @@
     asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
     BOOST_TEST(runUntil(ioContext, [&] { return far.closed == 1; }));
 }
+
+// Pattern: a link was given up while it connected, and what waited on it was called not run; the
+// connection came about before the link was torn down, and the statement ran all the same, a second
+// time beside the one that another VM had been given meanwhile.
+BOOST_AUTO_TEST_CASE(aLinkThatIsGivenUpSendsNothingMore)
+{
+    asio::io_context ioContext;
+    Far far(ioContext);
+    PeerLinkHandler handler;
+    handler.onOpen = [](const std::shared_ptr<PeerLink> &) {};
+    handler.onFrame = [](const std::shared_ptr<PeerLink> &, const peer::v1::Frame &) {};
+    int closed = 0;
+    handler.onClosed = [&](const std::shared_ptr<PeerLink> &, bool wasOpen, const std::string &) {
+        ++closed;
+        BOOST_TEST(!wasOpen);
+    };
+    auto link = PeerLink::connect(ioContext, far.acceptor.local_endpoint(), 1s, handler);
+    peer::v1::Frame frame;
+    frame.mutable_ping()->set_number(1);
+    link->send(frame);
+    // Runs when the connection is there and its handler waits for its turn.
+    asio::post(ioContext, [&] {
+        BOOST_REQUIRE(!link->isOpen());
+        link->close("given up");
+    });
+    std::this_thread::sleep_for(20ms);
+    BOOST_TEST(runUntil(ioContext, [&] { return closed == 1; }));
+    ioContext.restart();
+    ioContext.run_for(100ms);
+    BOOST_TEST(far.frames == 0);
+}
