--- a/gentianplank/node/traffic/rate_exchange.cc
+++ b/gentianplank/node/traffic/rate_exchange.cc
@@ -16,9 +16,11 @@
 // A small rate has fewer, so that each part's burst is some tokens and not a piece of one.
 constexpr double LeastBurstOfPart = 5;
 constexpr size_t LeastOwners = 2;
-// In a fleet of more VMs than that, owners are chosen among a few of each region, so that a VM
-// keeps links to those only and they are open when an operation needs a token: at least the first
-// figure, and one of so many VMs.
+// In a fleet of more VMs than this, owners are chosen among a few of each region, its homes, so
+// that a VM keeps links to those only and they are open when an operation needs a token. Many
+// owners change when a fleet grows past it.
+constexpr size_t SmallFleet = 16;
+// A region has this many homes, or one for so many VMs if that is more.
 constexpr size_t LeastHomes = 8;
 constexpr size_t VmsPerHome = 16;
 constexpr char HomesKey[] = "rates";
@@ -57,14 +59,14 @@
     Instant refusedAt{};
 };
 
-// VMs that may own parts of rates, by region; one list of all VMs in a small fleet.
+// VMs that may own parts of rates, by region; one list for all regions in a small fleet.
 using Homes = std::vector<std::vector<std::string>>;
 
 Homes homesOf(std::span<const VmRecord> vms)
 {
     std::map<std::string, std::vector<std::string>> byRegion;
     for (const VmRecord &it : vms) {
-        byRegion[vms.size() > MostOwners ? it.place.region : ""].push_back(it.name);
+        byRegion[vms.size() > SmallFleet ? it.place.region : ""].push_back(it.name);
     }
     Homes homes;
     for (const auto &[region, names] : byRegion) {
