--- a/gentianplank/platform/process_settings.cc
+++ b/gentianplank/platform/process_settings.cc
@@ -154,7 +154,9 @@
     settings.revocationLimit = reader.milliseconds("bounds", "revoke-ms");
     settings.grace = reader.seconds("bounds", "grace-s");
     settings.drainLimit = reader.milliseconds("bounds", "drain-ms");
-    settings.configurationLimit = reader.milliseconds("bounds", "config-apply-ms");
+    if (reader.at("bounds", "config-apply-ms")) {
+        settings.configurationLimit = reader.milliseconds("bounds", "config-apply-ms");
+    }
     readPeerPorts(reader, settings);
     readZones(reader, settings);
     if (!reader.findings.empty()) {
--- a/gentianplank/platform/process_settings_test.cc
+++ b/gentianplank/platform/process_settings_test.cc
@@ -57,6 +57,17 @@
     BOOST_TEST(settings->linkMbps == 0U);
 }
 
+// A deployment without bounds on changes of the configuration may not tell one.
+BOOST_AUTO_TEST_CASE(theConfigurationLimitMayBeLeftOutButNotBeNegative)
+{
+    std::string text = Whole;
+    text.replace(text.find("config-apply-ms = 4000"), 22, "");
+    BOOST_TEST(decodeProcessSettings(text, "local.toml").has_value());
+    text = Whole;
+    text.replace(text.find("config-apply-ms = 4000"), 22, "config-apply-ms = -1");
+    BOOST_TEST(!decodeProcessSettings(text, "local.toml"));
+}
+
 BOOST_AUTO_TEST_CASE(theLinkMayBeLeftOutButNotBeNegative)
 {
     std::string text = Whole;
