Let a session's end not touch an environment that is gone

Under asan, three runs of three: ~CallerSession wrote to the freed budget of unread bytes, since handlers pending on the io_context keep sessions longer than their environment. As old as the budget; entry_test had never run under asan.

--- a/gentianplank/node/traffic/caller_session.cc
+++ b/gentianplank/node/traffic/caller_session.cc
@@ -60,11 +60,13 @@
         : socket(std::move(connection))
         , number(sessionNumber)
         , environment(callbacks)
+        , unreadOfAll(callbacks.unread)
         , timer(socket.get_executor())
         , buffer(platform::LargestMessage)
     {}
 
-    ~State() { environment.unread->used -= unread; }
+    // What is pending on the socket's thread may keep a session longer than its environment.
+    ~State() { unreadOfAll->used -= unread; }
 
     void read();
     void countUnread();
@@ -87,6 +89,7 @@
     asio::ip::tcp::socket socket;
     uint64_t number;
     const SessionEnvironment &environment;
+    std::shared_ptr<UnreadBudget> unreadOfAll;
     asio::steady_timer timer;
     std::array<char, ReadBytes> chunk{};
     platform::LineBuffer buffer;
