Answer waiting peers before the traffic thread's part ends

Cause: node_entry_test under asan: asks that wait at the feed relay hold links whose timers were destroyed after their io_context, at the end of a process. Not run under asan since this change.

--- a/gentianplank/node/control/control.cc
+++ b/gentianplank/node/control/control.cc
@@ -188,6 +188,8 @@
     if (m_state->thread.joinable()) {
         m_state->thread.join();
     }
+    // What peers wait for holds their links, which end with the traffic thread's part.
+    m_state->relay.retire();
 }
 
 } // namespace gentianplank
