--- a/gentianplank/http/http_client.cc
+++ b/gentianplank/http/http_client.cc
@@ -145,7 +145,11 @@
             connection->idleSince = steadyNow();
             state->idleConnections.push_back(connection);
         }
-        done(HttpResponse{response.result_int(), std::move(response.body())});
+        HttpResponse result{response.result_int(), std::move(response.body()), {}};
+        for (const auto &it : response.base()) {
+            result.headers.emplace_back(it.name_string(), it.value());
+        }
+        done(std::move(result));
     }
 
     void fail(HttpFault fault, const char *step, beast::error_code ec)
@@ -164,6 +168,16 @@
 
 } // namespace
 
+std::optional<std::string> HttpResponse::header(std::string_view name) const
+{
+    for (const auto &[key, value] : headers) {
+        if (beast::iequals({key.data(), key.size()}, {name.data(), name.size()})) {
+            return value;
+        }
+    }
+    return std::nullopt;
+}
+
 HttpClient::HttpClient(asio::io_context &ioContext, const std::string &address)
     : m_state(std::make_shared<State>(ioContext, address))
 {}
--- a/gentianplank/http/http_client.h
+++ b/gentianplank/http/http_client.h
@@ -11,7 +11,9 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -29,6 +31,10 @@
 {
     unsigned status = 0;
     std::string body;
+    std::vector<std::pair<std::string, std::string>> headers;
+
+    // Returns the value of the first header of that name, in any case; nullopt without one.
+    std::optional<std::string> header(std::string_view name) const;
 };
 
 // What is known about the effect of a call without an answer.
--- a/gentianplank/http/http_listener.cc
+++ b/gentianplank/http/http_listener.cc
@@ -73,6 +73,9 @@
         response.version(11);
         response.keep_alive(request.keep_alive());
         response.set(http::field::content_type, result.contentType);
+        for (const auto &[name, value] : result.headers) {
+            response.set(name, value);
+        }
         response.body() = result.body;
         response.prepare_payload();
         if (result.delay <= Duration::zero()) {
--- a/gentianplank/http/http_listener.h
+++ b/gentianplank/http/http_listener.h
@@ -15,6 +15,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace gentianplank {
 
@@ -33,6 +35,7 @@
     std::string contentType = "text/plain";
     // Time to wait before the answer is sent.
     Duration delay{0};
+    std::vector<std::pair<std::string, std::string>> headers = {};
 };
 
 // Accepts a limited number of connections; any beyond the limit are closed at once. Not
--- a/gentianplank/platform/http_row_store.cc
+++ b/gentianplank/platform/http_row_store.cc
@@ -1,5 +1,7 @@
 #include "gentianplank/platform/http_row_store.h"
 
+#include "gentianplank/base/event_log.h"
+
 #include <absl/strings/escaping.h>
 #include <nlohmann/json.hpp>
 
@@ -11,6 +13,7 @@
 
 using Json = nlohmann::json;
 
+constexpr char EraHeader[] = "Store-Era";
 constexpr unsigned HttpOk = 200;
 constexpr unsigned HttpGone = 410;
 constexpr unsigned HttpPreconditionFailed = 412;
@@ -140,6 +143,18 @@
 
 } // namespace
 
+void HttpRowStore::noteEra(const HttpResult &result)
+{
+    if (!result) {
+        return;
+    }
+    const std::string era = result->header(EraHeader).value_or("");
+    if (era != m_era) {
+        logEvent("store.era", {{"era", era}, {"previous", m_era}, {"status", result->status}});
+        m_era = era;
+    }
+}
+
 void HttpRowStore::read(RowRange range, Duration timeout,
                         std::function<void(RowResult<RowSet>)> done)
 {
@@ -150,6 +165,7 @@
     m_client.call({.method = "GET", .target = std::move(target), .body = {}, .headers = {}},
                   timeout,
                   [this, sentAt = bootNow(), done = std::move(done)](const HttpResult &result) {
+                      noteEra(result);
                       done(decodeRowSet(result, m_clock, sentAt));
                   });
 }
@@ -173,7 +189,10 @@
     }
     m_client.call(
         {.method = "POST", .target = "/rows-tx", .body = body.dump(), .headers = {}}, timeout,
-        [done = std::move(done)](const HttpResult &result) { done(decodeChange(result)); });
+        [this, done = std::move(done)](const HttpResult &result) {
+            noteEra(result);
+            done(decodeChange(result));
+        });
 }
 
 void HttpRowStore::changesAfter(std::string table, uint64_t after, Duration wait, Duration timeout,
@@ -186,6 +205,7 @@
          .body = {},
          .headers = {}},
         timeout, [this, sentAt = bootNow(), done = std::move(done)](const HttpResult &result) {
+            noteEra(result);
             auto set = decodeRowSet(result, m_clock, sentAt);
             if (set) {
                 set->hasMore = mayBeTruncated(set->rows, result->body.size());
--- a/gentianplank/platform/http_row_store.h
+++ b/gentianplank/platform/http_row_store.h
@@ -24,6 +24,10 @@
                       std::function<void(RowResult<RowSet>)> done) override;
 
 private:
+    // Logs the era that the store names in an answer when it differs from that of the last answer.
+    void noteEra(const HttpResult &result);
+
+    std::string m_era;
     HttpClient &m_client;
     StoreClock m_clock;
 };
--- a/gentianplank/store/table_follower.cc
+++ b/gentianplank/store/table_follower.cc
@@ -1,5 +1,7 @@
 #include "gentianplank/store/table_follower.h"
 
+#include "gentianplank/base/event_log.h"
+
 #include <algorithm>
 #include <deque>
 #include <set>
@@ -134,6 +136,10 @@
             retry(result.error().what);
             return;
         }
+        if (result->version < version) {
+            logEvent("store.version_decreased",
+                     {{"table", table}, {"version", result->version}, {"known", version}});
+        }
         version = std::max(version, result->version);
         const BootInstant at = result->provenAt;
         const bool hasChanges = !result->rows.empty();
@@ -167,6 +173,7 @@
 
     void apply(std::vector<StoredRow> changes)
     {
+        logIgnored(changes);
         std::erase_if(changes, [this](const StoredRow &it) {
             const auto known = rows.find(it.key);
             if (known == rows.end()) {
@@ -188,6 +195,21 @@
         }
     }
 
+    void logIgnored(const std::vector<StoredRow> &changes) const
+    {
+        for (const StoredRow &it : changes) {
+            const auto known = rows.find(it.key);
+            if (known != rows.end() && it.version < known->second.version) {
+                logEvent("store.row_ignored", {{"table", table},
+                                               {"key", it.key},
+                                               {"erased", it.erased},
+                                               {"same_value", it.value == known->second.value},
+                                               {"row_version", it.version},
+                                               {"known_row_version", known->second.version}});
+            }
+        }
+    }
+
     // Drops the intermediate states of rows that changed several times.
     static void keepNewestPerKey(std::vector<StoredRow> &changes)
     {
