--- a/gentianplank/http/http_client.cc
+++ b/gentianplank/http/http_client.cc
@@ -174,6 +174,11 @@
 
 HttpClient::~HttpClient() = default;
 
+asio::io_context &HttpClient::ioContext() const
+{
+    return m_state->ioContext;
+}
+
 void HttpClient::call(HttpRequest request, Duration timeout, std::function<void(HttpResult)> done)
 {
     std::make_shared<Exchange<State>>(m_state, std::move(request), std::move(done))->start(timeout);
--- a/gentianplank/http/http_client.h
+++ b/gentianplank/http/http_client.h
@@ -56,6 +56,8 @@
     HttpClient(boost::asio::io_context &ioContext, const std::string &address);
     ~HttpClient();
 
+    boost::asio::io_context &ioContext() const;
+
     // Calls `done` exactly once with the response or the error, never before call() returns.
     // `timeout` covers the whole call, including connecting.
     void call(HttpRequest request, Duration timeout, std::function<void(HttpResult)> done);
--- a/gentianplank/node/control/control_duty.cc
+++ b/gentianplank/node/control/control_duty.cc
@@ -28,7 +28,8 @@
 
 bool Control::State::holdsDuty() const
 {
-    return dutyVersion != 0 && duty.holder == settings.name && duty.incarnation == incarnation;
+    return !isAbsent(dutyVersion) && duty.holder == settings.name &&
+           duty.incarnation == incarnation;
 }
 
 std::vector<std::string> Control::State::dutyRanking() const
@@ -51,7 +52,7 @@
     const BootInstant now = bootNow();
     auto ranking = dutyRanking();
     const auto holder = vms.find(duty.holder);
-    const bool isGone = dutyVersion == 0 || holder == vms.end() || holder->second.isLeaving ||
+    const bool isGone = isAbsent(dutyVersion) || holder == vms.end() || holder->second.isLeaving ||
                         holder->second.incarnation != duty.incarnation;
     std::erase(ranking, duty.holder);
     const auto place = std::find(ranking.begin(), ranking.end(), settings.name);
@@ -88,27 +89,29 @@
 {
     isAcquiringDuty = true;
     const auto holder = vms.find(duty.holder);
-    mayPromoteImmediately =
-        dutyVersion == 0 || (holder != vms.end() && holder->second.incarnation != duty.incarnation);
+    mayPromoteImmediately = isAbsent(dutyVersion) ||
+                            (holder != vms.end() && holder->second.incarnation != duty.incarnation);
     RowTransaction transaction;
     transaction.conditions.push_back({FleetTable, PromotionDutyKey, dutyVersion});
     transaction.writes.push_back(
-        {FleetTable, PromotionDutyKey, encodeDutyRecord({settings.name, incarnation}), 0, false});
-    logEvent("duty.take", {{"from", duty.holder}, {"token", dutyVersion}});
-    store.change(std::move(transaction), StoreTimeout, [this](const RowResult<uint64_t> &result) {
-        dutyAcquiredAt = bootNow();
-        if (result) {
-            duty = {settings.name, incarnation};
-            dutyVersion = *result;
-        }
-        // If the outcome is unknown, the feed shows which VM holds the duty.
-        schedule(StoreRetryDelay, [this] { isAcquiringDuty = false; });
-    });
+        {FleetTable, PromotionDutyKey, encodeDutyRecord({settings.name, incarnation}), {}, false});
+    logEvent("duty.take", {{"from", duty.holder}, {"token", toOrderedNumber(dutyVersion)}});
+    store.change(std::move(transaction), StoreTimeout,
+                 [this](const RowResult<StoreVersion> &result) {
+                     dutyAcquiredAt = bootNow();
+                     if (result) {
+                         duty = {settings.name, incarnation};
+                         dutyVersion = *result;
+                     }
+                     // If the outcome is unknown, the feed shows which VM holds the duty.
+                     schedule(StoreRetryDelay, [this] { isAcquiringDuty = false; });
+                 });
 }
 
 // Calls the platform only right after a read has proven that the duty is still held and that the
 // group's row is the one that the change is based on.
-void Control::State::promote(const std::string &group, uint64_t version, const std::string &member,
+void Control::State::promote(const std::string &group, const StoreVersion &version,
+                             const std::string &member,
                              std::function<void(platform::PromotionReply, std::string)> done)
 {
     const bool isWithinHandOver =
@@ -131,7 +134,7 @@
                        return;
                    }
                    platform::requestPromotion(promotionClient, group, member, settings.name,
-                                              dutyVersion, PromotionTimeout, done);
+                                              toOrderedNumber(dutyVersion), PromotionTimeout, done);
                });
 }
 
@@ -161,11 +164,11 @@
     if (row == fleetFollower->rows().end()) {
         return;
     }
-    logEvent("vm.gone", {{"vm", name}, {"row_version", row->second.version}});
+    logEvent("vm.gone", {{"vm", name}, {"row_version", toString(row->second.version)}});
     // If the outcome is unknown, the feed shows whether the row still exists, and the VM is probed
     // again.
     store.change(vmRowErasure(name, row->second.version, dutyVersion), StoreTimeout,
-                 [name](const RowResult<uint64_t> &result) {
+                 [name](const RowResult<StoreVersion> &result) {
                      if (!result) {
                          logEvent("vm.gone_failed", {{"vm", name}, {"why", result.error().what}});
                      }
--- a/gentianplank/node/control/control_groups.cc
+++ b/gentianplank/node/control/control_groups.cc
@@ -43,7 +43,7 @@
     if (group.change || now < group.nextChangeAt || !knowsAllWrites(group)) {
         return;
     }
-    if (group.version == 0) {
+    if (isAbsent(group.version)) {
         createRecord(name);
         return;
     }
@@ -95,14 +95,14 @@
     record.primary = primary->id;
     record.primaryStartedAtMs = primary->startedAtMs;
     record.writer = settings.name;
-    storeRecord(record, 0, [name](const RowResult<uint64_t> &result) {
+    storeRecord(record, {}, [name](const RowResult<StoreVersion> &result) {
         logEvent("group.created",
                  {{"group", name}, {"outcome", result ? "stored" : result.error().what}});
     });
 }
 
-void Control::State::storeRecord(const GroupRecord &record, uint64_t version,
-                                 std::function<void(RowResult<uint64_t>)> done)
+void Control::State::storeRecord(const GroupRecord &record, const StoreVersion &version,
+                                 std::function<void(RowResult<StoreVersion>)> done)
 {
     if (!holdsDuty()) {
         // The new holder continues the change; what this VM knows of the members may be outdated.
@@ -110,11 +110,12 @@
             RowError{RowFault::ConditionFailed, "another VM holds the promotion duty", {}}));
         return;
     }
-    store.change(groupRecordWrite(record, version, dutyVersion), StoreTimeout,
-                 [this, name = record.group, done = std::move(done)](RowResult<uint64_t> result) {
-                     groups[name].writtenAt = bootNow();
-                     done(std::move(result));
-                 });
+    store.change(
+        groupRecordWrite(record, version, dutyVersion), StoreTimeout,
+        [this, name = record.group, done = std::move(done)](RowResult<StoreVersion> result) {
+            groups[name].writtenAt = bootNow();
+            done(std::move(result));
+        });
 }
 
 void Control::State::beginChange(const std::string &name, ChangeCause cause,
@@ -165,11 +166,11 @@
             sendToPeer(name, frame);
         }
     };
-    environment.store = [this](const GroupRecord &record, uint64_t version,
-                               std::function<void(RowResult<uint64_t>)> done) {
+    environment.store = [this](const GroupRecord &record, const StoreVersion &version,
+                               std::function<void(RowResult<StoreVersion>)> done) {
         storeRecord(record, version, std::move(done));
     };
-    environment.promote = [this](const std::string &group, uint64_t version,
+    environment.promote = [this](const std::string &group, const StoreVersion &version,
                                  const std::string &member,
                                  std::function<void(platform::PromotionReply, std::string)> done) {
         promote(group, version, member, std::move(done));
--- a/gentianplank/node/control/control_state.h
+++ b/gentianplank/node/control/control_state.h
@@ -38,7 +38,7 @@
 struct GroupState
 {
     GroupRecord record;
-    uint64_t version = 0;
+    StoreVersion version;
     std::shared_ptr<PrimaryChange> change;
     BootInstant nextChangeAt{};
     // When the last write of the record by this VM was answered or failed.
@@ -102,7 +102,7 @@
     bool holdsDuty() const;
     std::vector<std::string> dutyRanking() const;
     void acquireDuty();
-    void promote(const std::string &group, uint64_t version, const std::string &member,
+    void promote(const std::string &group, const StoreVersion &version, const std::string &member,
                  std::function<void(platform::PromotionReply, std::string)> done);
 
     // Erases the rows of VMs that are gone for good, so that their rate shares become free.
@@ -117,8 +117,8 @@
     void beginChange(const std::string &name, ChangeCause cause, const std::string &reason);
     void abandonChanges();
     PrimaryChangeEnvironment changeEnvironment();
-    void storeRecord(const GroupRecord &record, uint64_t version,
-                     std::function<void(RowResult<uint64_t>)> done);
+    void storeRecord(const GroupRecord &record, const StoreVersion &version,
+                     std::function<void(RowResult<StoreVersion>)> done);
     void handleSuspicion(const std::string &group, const std::string &member);
     void checkReachability(const std::string &group, const std::string &member);
     void recordReachability(const std::shared_ptr<ReachabilityCheck> &check, bool isReachable);
@@ -160,8 +160,8 @@
     BootInstant startedAt{};
     // Tables whose feed has failed, and since when.
     std::map<std::string, BootInstant> storeLostAt;
-    // The version of this VM's own row after its last write; 0 before the first.
-    uint64_t ownRowVersion = 0;
+    // The version of this VM's own row after its last write; absent before the first.
+    StoreVersion ownRowVersion;
     bool isFollowingAll = false;
     bool isRegistering = false;
     bool isRegistered = false;
@@ -170,7 +170,7 @@
     bool isHandedOver = false;
 
     DutyRecord duty;
-    uint64_t dutyVersion = 0;
+    StoreVersion dutyVersion;
     BootInstant dutyAcquiredAt{};
     bool isAcquiringDuty = false;
     // Set when there was no previous holder or its process is known to have ended, so that no late
--- a/gentianplank/node/control/control_store.cc
+++ b/gentianplank/node/control/control_store.cc
@@ -178,7 +178,7 @@
         auto decoded = platform::decodeConfiguration(row.value);
         if (!decoded) {
             logEvent("configuration.unreadable",
-                     {{"row_version", row.version}, {"why", decoded.error()}});
+                     {{"row_version", toString(row.version)}, {"why", decoded.error()}});
             continue;
         }
         if (routing && decoded->revision < routing->revision) {
@@ -232,7 +232,7 @@
                                   {"zone", entry->zone},
                                   {"leaving", entry->isLeaving},
                                   {"primary", entry->claimsPrimary},
-                                  {"row_version", row.version}});
+                                  {"row_version", toString(row.version)}});
     }
     publication.schedule();
 }
@@ -255,7 +255,7 @@
                 // until the row is written again.
                 if (name == settings.name) {
                     isRegistered = false;
-                    ownRowVersion = 0;
+                    ownRowVersion = {};
                 }
             }
         } else if (row.key.starts_with(GroupKeyPrefix)) {
@@ -265,7 +265,8 @@
                 duty = *record;
                 dutyVersion = row.version;
                 holderLastSeenAt = bootNow();
-                logEvent("duty.holder", {{"vm", duty.holder}, {"token", dutyVersion}});
+                logEvent("duty.holder",
+                         {{"vm", duty.holder}, {"token", toOrderedNumber(dutyVersion)}});
             } else {
                 logEvent("duty.unreadable", {{"why", record.error()}});
             }
@@ -313,7 +314,7 @@
         next->membersOfGroup[member.entry.group].push_back(id);
     }
     for (const auto &[name, group] : groups) {
-        if (group.version != 0) {
+        if (!isAbsent(group.version)) {
             next->groups[name] = group.record;
         }
     }
@@ -330,12 +331,12 @@
                           leaving,       settings.linkMbps};
     const auto &rows = fleetFollower->rows();
     const auto known = rows.find(key);
-    const uint64_t seen = known == rows.end() ? 0 : known->second.version;
+    const StoreVersion seen = known == rows.end() ? StoreVersion{} : known->second.version;
     RowTransaction transaction;
     transaction.conditions.push_back({FleetTable, key, std::max(seen, ownRowVersion)});
-    transaction.writes.push_back({FleetTable, key, encodeVmRecord(record), 0, false});
+    transaction.writes.push_back({FleetTable, key, encodeVmRecord(record), {}, false});
     store.change(std::move(transaction), StoreTimeout,
-                 [this, record, done = std::move(done)](const RowResult<uint64_t> &result) {
+                 [this, record, done = std::move(done)](const RowResult<StoreVersion> &result) {
                      if (result) {
                          ownRowVersion = *result;
                          vms[record.name] = record;
--- a/gentianplank/node/control/duty_writes.cc
+++ b/gentianplank/node/control/duty_writes.cc
@@ -9,31 +9,33 @@
 
 namespace {
 
-RowCondition dutyCondition(uint64_t dutyVersion)
+RowCondition dutyCondition(const StoreVersion &dutyVersion)
 {
     return {FleetTable, PromotionDutyKey, dutyVersion};
 }
 
-std::optional<uint64_t> versionOf(const RowSet &set, std::string_view key)
+std::optional<StoreVersion> versionOf(const RowSet &set, std::string_view key)
 {
     const auto it = std::find_if(set.rows.begin(), set.rows.end(),
                                  [key](const StoredRow &row) { return row.key == key; });
-    return it == set.rows.end() ? std::nullopt : std::optional<uint64_t>(it->version);
+    return it == set.rows.end() ? std::nullopt : std::optional<StoreVersion>(it->version);
 }
 
 } // namespace
 
-RowTransaction groupRecordWrite(const GroupRecord &record, uint64_t version, uint64_t dutyVersion)
+RowTransaction groupRecordWrite(const GroupRecord &record, const StoreVersion &version,
+                                const StoreVersion &dutyVersion)
 {
     const std::string key = std::string(GroupKeyPrefix) + record.group;
     RowTransaction transaction;
     transaction.conditions.push_back(dutyCondition(dutyVersion));
     transaction.conditions.push_back({FleetTable, key, version});
-    transaction.writes.push_back({FleetTable, key, encodeGroupRecord(record), 0, false});
+    transaction.writes.push_back({FleetTable, key, encodeGroupRecord(record), {}, false});
     return transaction;
 }
 
-RowTransaction vmRowErasure(std::string_view vm, uint64_t version, uint64_t dutyVersion)
+RowTransaction vmRowErasure(std::string_view vm, const StoreVersion &version,
+                            const StoreVersion &dutyVersion)
 {
     const std::string key = std::string(VmKeyPrefix) + std::string(vm);
     RowTransaction transaction;
@@ -43,8 +45,8 @@
     return transaction;
 }
 
-bool allowsPromotion(const RowSet &read, uint64_t dutyVersion, std::string_view group,
-                     uint64_t version)
+bool allowsPromotion(const RowSet &read, const StoreVersion &dutyVersion, std::string_view group,
+                     const StoreVersion &version)
 {
     if (versionOf(read, PromotionDutyKey) != dutyVersion) {
         return false;
--- a/gentianplank/node/control/duty_writes_test.cc
+++ b/gentianplank/node/control/duty_writes_test.cc
@@ -14,6 +14,11 @@
 constexpr char GroupRow[] = "group/g";
 constexpr char VmRow[] = "vm/vm-2";
 
+StoreVersion version(uint64_t number)
+{
+    return {1, number};
+}
+
 // A store that keeps only row versions and applies a transaction if every condition holds.
 struct Versions
 {
@@ -23,19 +28,20 @@
             std::all_of(transaction.conditions.begin(), transaction.conditions.end(),
                         [&](const RowCondition &it) { return rows[it.key] == it.version; });
         if (conditionsHold) {
-            ++newest;
+            ++newest.number;
             for (const StoredRow &it : transaction.writes) {
                 rows[it.key] = newest;
             }
             for (const RowCondition &it : transaction.erasures) {
-                rows[it.key] = 0;
+                rows[it.key] = {};
             }
         }
         return conditionsHold;
     }
 
-    std::map<std::string, uint64_t> rows{{PromotionDutyKey, 7}, {GroupRow, 8}, {VmRow, 9}};
-    uint64_t newest = 9;
+    std::map<std::string, StoreVersion> rows{
+        {PromotionDutyKey, version(7)}, {GroupRow, version(8)}, {VmRow, version(9)}};
+    StoreVersion newest = version(9);
 };
 
 GroupRecord changing()
@@ -48,11 +54,11 @@
 BOOST_AUTO_TEST_CASE(holderOfDutyCanWrite)
 {
     Versions store;
-    BOOST_TEST(store.change(groupRecordWrite(changing(), 8, 7)));
-    BOOST_TEST(store.rows[GroupRow] == 10U);
-    BOOST_TEST(!store.change(groupRecordWrite(changing(), 8, 7)));
-    BOOST_TEST(store.change(vmRowErasure("vm-2", 9, 7)));
-    BOOST_TEST(store.rows[VmRow] == 0U);
+    BOOST_TEST(store.change(groupRecordWrite(changing(), version(8), version(7))));
+    BOOST_TEST(store.rows[GroupRow] == version(10));
+    BOOST_TEST(!store.change(groupRecordWrite(changing(), version(8), version(7))));
+    BOOST_TEST(store.change(vmRowErasure("vm-2", version(9), version(7))));
+    BOOST_TEST(isAbsent(store.rows[VmRow]));
 }
 
 // Guards against writes of a holder that has lost the duty without knowing it. Cut off from the
@@ -62,14 +68,14 @@
 BOOST_AUTO_TEST_CASE(formerHolderCannotStoreGroupRecord)
 {
     Versions store;
-    BOOST_REQUIRE(store.change(groupRecordWrite(changing(), 8, 7)));
-    const uint64_t versionLeft = store.rows[GroupRow];
-    store.rows[PromotionDutyKey] = 20;
+    BOOST_REQUIRE(store.change(groupRecordWrite(changing(), version(8), version(7))));
+    const StoreVersion versionLeft = store.rows[GroupRow];
+    store.rows[PromotionDutyKey] = version(20);
 
     GroupRecord serving = changing();
     serving.phase = GroupPhase::Serving;
-    BOOST_TEST(!store.change(groupRecordWrite(serving, versionLeft, 7)));
-    BOOST_TEST(store.change(groupRecordWrite(serving, versionLeft, 20)));
+    BOOST_TEST(!store.change(groupRecordWrite(serving, versionLeft, version(7))));
+    BOOST_TEST(store.change(groupRecordWrite(serving, versionLeft, version(20))));
 }
 
 // Guards against the same former holder erasing the rows of VMs that it takes to be gone because it
@@ -77,9 +83,9 @@
 BOOST_AUTO_TEST_CASE(formerHolderCannotEraseVmRow)
 {
     Versions store;
-    store.rows[PromotionDutyKey] = 20;
-    BOOST_TEST(!store.change(vmRowErasure("vm-2", 9, 7)));
-    BOOST_TEST(store.rows[VmRow] == 9U);
+    store.rows[PromotionDutyKey] = version(20);
+    BOOST_TEST(!store.change(vmRowErasure("vm-2", version(9), version(7))));
+    BOOST_TEST(store.rows[VmRow] == version(9));
 }
 
 // Guards against a second promotion on the basis of an outdated record. The holder of the duty had
@@ -88,15 +94,15 @@
 BOOST_AUTO_TEST_CASE(promotionRequiresUnchangedDutyAndGroupRecord)
 {
     RowSet read;
-    read.rows = {{FleetTable, PromotionDutyKey, "", 7, false},
-                 {FleetTable, GroupRow, "", 11, false}};
-    BOOST_TEST(allowsPromotion(read, 7, "g", 11));
-    BOOST_TEST(!allowsPromotion(read, 7, "g", 8));
-    BOOST_TEST(!allowsPromotion(read, 6, "g", 11));
-    BOOST_TEST(!allowsPromotion(read, 7, "h", 11));
+    read.rows = {{FleetTable, PromotionDutyKey, "", version(7), false},
+                 {FleetTable, GroupRow, "", version(11), false}};
+    BOOST_TEST(allowsPromotion(read, version(7), "g", version(11)));
+    BOOST_TEST(!allowsPromotion(read, version(7), "g", version(8)));
+    BOOST_TEST(!allowsPromotion(read, version(6), "g", version(11)));
+    BOOST_TEST(!allowsPromotion(read, version(7), "h", version(11)));
     read.hasMore = true;
-    BOOST_TEST(allowsPromotion(read, 7, "h", 11));
-    BOOST_TEST(!allowsPromotion(RowSet{}, 7, "g", 11));
+    BOOST_TEST(allowsPromotion(read, version(7), "h", version(11)));
+    BOOST_TEST(!allowsPromotion(RowSet{}, version(7), "g", version(11)));
 }
 
 BOOST_AUTO_TEST_CASE(showsAllWritesOnlyWhenProvenAfterThem)
--- a/gentianplank/node/control/feed_relay.cc
+++ b/gentianplank/node/control/feed_relay.cc
@@ -3,6 +3,8 @@
 #include "gentianplank/base/compression.h"
 #include "gentianplank/base/event_log.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -31,6 +33,14 @@
 // The store accepts at most 1 MB in a call.
 constexpr size_t MaxValueBytes = 1024UL * 1024;
 
+// Returns the version that the sender of a request knows. Processes that don't know eras mean the
+// era of this VM.
+StoreVersion versionKnownTo(const peer::v1::FeedAsk &request, const TableFollower &follower)
+{
+    return {request.has_after_era() ? request.after_era() : follower.version().era,
+            request.after()};
+}
+
 peer::v1::Frame unknownAnswer(uint64_t number)
 {
     peer::v1::Frame frame;
@@ -45,7 +55,7 @@
 {
     auto *added = answer->add_rows();
     added->set_key(row.key);
-    added->set_version(row.version);
+    added->set_version(row.version.number);
     added->set_erased(row.erased);
     if (row.value.size() < CompressionThresholdBytes) {
         added->set_value(row.value);
@@ -70,7 +80,7 @@
             addRow(row, answer);
         }
     } else {
-        const auto changes = follower.changesAfter(request.after());
+        const auto changes = follower.changesAfter(versionKnownTo(request, follower));
         if (!changes) {
             answer->set_history_gone(true);
             return frame;
@@ -80,7 +90,8 @@
         }
     }
     const BootInstant now = bootNow();
-    answer->set_version(follower.version());
+    answer->set_era(follower.version().era);
+    answer->set_version(follower.version().number);
     answer->set_clock_us(static_cast<uint64_t>(now.time_since_epoch().count()));
     answer->set_proof_age_us(static_cast<uint64_t>((now - follower.provenAt()).count()));
     return frame;
@@ -102,9 +113,11 @@
     }
     // A follower that is ahead of this VM waits: answered at once, it would repeat its request in a
     // loop until this VM has caught up.
-    const bool isAhead = request.after() > follower->version();
-    const bool hasUpdate = request.whole() || request.prompt() ||
-                           (!isAhead && !follower->isUnchangedSince(request.after()));
+    const StoreVersion known = versionKnownTo(request, *follower);
+    const bool isAhead = known > follower->version();
+    const bool isInLaterEra = known.era > follower->version().era;
+    const bool hasUpdate = request.whole() || (request.prompt() && !isInLaterEra) ||
+                           (!isAhead && !follower->isUnchangedSince(known));
     if (isReachable && hasUpdate) {
         reply(makeAnswer(request, *follower));
         return;
@@ -146,9 +159,16 @@
 void FeedRelay::onFollowerAdvanced(const std::string &table, const TableFollower &follower)
 {
     m_lostTables.erase(table);
-    const auto waiting = std::move(m_waitingRequests[table]);
-    m_waitingRequests[table].clear();
-    for (const WaitingRequest &it : waiting) {
+    // A proof of this VM's era is worth nothing to a follower that knows a later one.
+    const auto isInLaterEra = [&follower](const WaitingRequest &it) {
+        return versionKnownTo(it.request, follower).era > follower.version().era;
+    };
+    auto &waiting = m_waitingRequests[table];
+    const auto firstAnswered = std::partition(waiting.begin(), waiting.end(), isInLaterEra);
+    const std::vector<WaitingRequest> answered(std::make_move_iterator(firstAnswered),
+                                               std::make_move_iterator(waiting.end()));
+    waiting.erase(firstAnswered, waiting.end());
+    for (const WaitingRequest &it : answered) {
         it.reply(makeAnswer(it.request, follower));
     }
 }
@@ -311,17 +331,18 @@
 }
 
 void RelayedRowStore::change(RowTransaction transaction, Duration timeout,
-                             std::function<void(RowResult<uint64_t>)> done)
+                             std::function<void(RowResult<StoreVersion>)> done)
 {
     m_state->direct.change(std::move(transaction), timeout, std::move(done));
 }
 
-void RelayedRowStore::changesAfter(std::string table, uint64_t after, Duration wait,
+void RelayedRowStore::changesAfter(std::string table, StoreVersion after, Duration wait,
                                    Duration timeout, std::function<void(RowResult<RowSet>)> done)
 {
     peer::v1::FeedAsk request;
     request.set_table(table);
-    request.set_after(after);
+    request.set_after(after.number);
+    request.set_after_era(after.era);
     request.set_prompt(wait == Duration::zero());
     m_state->fetch(std::move(request), timeout, std::move(done),
                    [&](bool readsImmediately, State::Done direct) {
@@ -354,6 +375,9 @@
     source.usesLongPoll = false;
     source.readsImmediately = false;
     source.isServedByRelay = true;
+    // A relay that doesn't know eras answers in the era that it was asked about.
+    const auto &request = pending.request;
+    const uint64_t era = answer.has_era() ? answer.era() : request.after_era();
     RowSet set;
     for (const auto &row : answer.rows()) {
         auto value = row.compressed() ? decompressed(row.value(), MaxValueBytes)
@@ -366,14 +390,16 @@
             return;
         }
         set.rows.push_back(
-            {pending.request.table(), row.key(), std::move(*value), row.version(), row.erased()});
+            {request.table(), row.key(), std::move(*value), {era, row.version()}, row.erased()});
     }
-    set.version = answer.version();
+    set.version = {era, answer.version()};
     const BootInstant answeredAt =
         answerTimeLowerBound(m_state->relayClocks[vm], pending.sentAt,
                              Duration(static_cast<int64_t>(answer.clock_us())), bootNow());
     set.provenAt = answeredAt - Duration(static_cast<int64_t>(answer.proof_age_us()));
-    pending.done(std::move(set));
+    pending.done(request.whole()
+                     ? RowResult<RowSet>(std::move(set))
+                     : asContinuation(std::move(set), {request.after_era(), request.after()}));
 }
 
 void RelayedRowStore::handlePeerLost(const std::string &vm)
--- a/gentianplank/node/control/feed_relay.h
+++ b/gentianplank/node/control/feed_relay.h
@@ -51,7 +51,7 @@
 
     struct CompressedValue
     {
-        uint64_t version = 0;
+        StoreVersion version;
         std::string bytes;
     };
 
@@ -90,8 +90,8 @@
     void read(RowRange range, Duration timeout,
               std::function<void(RowResult<RowSet>)> done) override;
     void change(RowTransaction transaction, Duration timeout,
-                std::function<void(RowResult<uint64_t>)> done) override;
-    void changesAfter(std::string table, uint64_t after, Duration wait, Duration timeout,
+                std::function<void(RowResult<StoreVersion>)> done) override;
+    void changesAfter(std::string table, StoreVersion after, Duration wait, Duration timeout,
                       std::function<void(RowResult<RowSet>)> done) override;
 
     void handleAnswer(const std::string &vm, const peer::v1::FeedAnswer &answer);
--- a/gentianplank/node/control/feed_relay_test.cc
+++ b/gentianplank/node/control/feed_relay_test.cc
@@ -10,16 +10,23 @@
 
 namespace {
 
+constexpr uint64_t Era = 1;
+
+StoreVersion version(uint64_t number)
+{
+    return {Era, number};
+}
+
 // A store that answers reads at once and holds feed requests until the test answers them.
 class MockStore : public RowStore
 {
 public:
     void read(RowRange, Duration, std::function<void(RowResult<RowSet>)> done) override
     {
-        done(RowSet{{{"t", "a", "1", 3, false}}, 4, false, bootNow()});
+        done(nextRead);
     }
-    void change(RowTransaction, Duration, std::function<void(RowResult<uint64_t>)>) override {}
-    void changesAfter(std::string, uint64_t, Duration wait, Duration,
+    void change(RowTransaction, Duration, std::function<void(RowResult<StoreVersion>)>) override {}
+    void changesAfter(std::string, StoreVersion, Duration wait, Duration,
                       std::function<void(RowResult<RowSet>)> done) override
     {
         feed = std::move(done);
@@ -27,6 +34,7 @@
         ++feeds;
     }
 
+    RowSet nextRead{{{"t", "a", "1", version(3), false}}, version(4), false, bootNow()};
     std::function<void(RowResult<RowSet>)> feed;
     int feeds = 0;
     Duration lastWait{};
@@ -80,7 +88,8 @@
         requestCount = 0;
     }
 
-    void requestChanges(uint64_t after)
+    void requestChanges(uint64_t after) { requestChanges(version(after)); }
+    void requestChanges(const StoreVersion &after)
     {
         result.reset();
         relayedStore->changesAfter("t", after, 1s, 2s,
@@ -106,10 +115,10 @@
 {
     requestChanges(4);
     BOOST_TEST(!result);
-    relayStore.feed(RowSet{{{"t", "b", "2", 6, false}}, 7, false, bootNow()});
+    relayStore.feed(RowSet{{{"t", "b", "2", version(6), false}}, version(7), false, bootNow()});
     BOOST_REQUIRE(result && *result);
     BOOST_TEST((*result)->rows.at(0).key == "b");
-    BOOST_TEST((*result)->version == 7U);
+    BOOST_TEST((*result)->version == version(7));
     BOOST_TEST(directStore.feeds == 0);
 }
 
@@ -119,7 +128,7 @@
 {
     requestChanges(4);
     const BootInstant provenAt = bootNow() - 700ms;
-    relayStore.feed(RowSet{{}, 9, false, provenAt + 500ms});
+    relayStore.feed(RowSet{{}, version(9), false, provenAt + 500ms});
     BOOST_REQUIRE(result && *result);
     BOOST_TEST(((*result)->provenAt <= relayFollower->provenAt()));
     BOOST_TEST(((*result)->provenAt >= relayFollower->provenAt() - 100ms));
@@ -172,7 +181,7 @@
     // The store is reachable again.
     BOOST_REQUIRE(!tasks.empty());
     tasks.back()();
-    relayStore.feed(RowSet{{}, 9, false, bootNow()});
+    relayStore.feed(RowSet{{}, version(9), false, bootNow()});
     request.set_after(9);
     relay.handleRequest(request, relayFollower.get(), count);
     BOOST_TEST(unknownCount == 2);
@@ -187,7 +196,7 @@
     BOOST_TEST(!result);
     BOOST_REQUIRE(!tasks.empty());
     tasks.front()();
-    relayStore.feed(RowSet{{}, 9, false, bootNow()});
+    relayStore.feed(RowSet{{}, version(9), false, bootNow()});
     BOOST_REQUIRE(result && *result);
     BOOST_TEST(directStore.feeds == 0);
 }
@@ -219,7 +228,7 @@
         requestChanges(4);
         BOOST_TEST(!result);
         std::this_thread::sleep_for(100ms);
-        relayStore.feed(RowSet{{}, 9, false, bootNow()});
+        relayStore.feed(RowSet{{}, version(9), false, bootNow()});
         BOOST_REQUIRE(result && *result);
         BOOST_TEST((bootNow() - (*result)->provenAt < 50ms));
     }
@@ -233,7 +242,7 @@
 // proof of one follower expired meanwhile.
 BOOST_FIXTURE_TEST_CASE(stoppedRelayRejectsWaitingAndLaterRequests, Fixture)
 {
-    relayStore.feed(RowSet{{}, 4, false, bootNow()});
+    relayStore.feed(RowSet{{}, version(4), false, bootNow()});
     int unknownCount = 0;
     const auto count = [&](const peer::v1::Frame &it) {
         unknownCount += it.feed_answer().unknown() ? 1 : 0;
@@ -279,7 +288,7 @@
     BOOST_TEST(requestCount == 1);
     BOOST_REQUIRE(directStore.feeds == 1);
     BOOST_TEST((directStore.lastWait == 0s));
-    directStore.feed(RowSet{{}, 4, false, bootNow()});
+    directStore.feed(RowSet{{}, version(4), false, bootNow()});
     requestChanges(4);
     BOOST_TEST(requestCount == 2);
     BOOST_TEST(directStore.feeds == 1);
@@ -320,7 +329,7 @@
     for (const auto &it : std::exchange(tasks, {})) {
         it();
     }
-    relayStore.feed(RowSet{{}, 9, false, bootNow()});
+    relayStore.feed(RowSet{{}, version(9), false, bootNow()});
     BOOST_REQUIRE(result);
 }
 
@@ -372,7 +381,7 @@
         value += "{\"name\":\"route-" + std::to_string(i) + "\"}";
     }
     size_t sentBytes = 0;
-    relayStore.feed(RowSet{{{"t", "b", value, 6, false}}, 7, false, bootNow()});
+    relayStore.feed(RowSet{{{"t", "b", value, version(6), false}}, version(7), false, bootNow()});
     peer::v1::FeedAsk direct;
     direct.set_table("t");
     direct.set_after(4);
@@ -391,7 +400,7 @@
     relayedStore->read({"t", ""}, 1s, [&](const RowResult<RowSet> &it) { allRows = it; });
     BOOST_REQUIRE(allRows && *allRows);
     BOOST_TEST((*allRows)->rows.size() == 1U);
-    BOOST_TEST((*allRows)->version == 4U);
+    BOOST_TEST((*allRows)->version == version(4));
 }
 
 // Guards against treating missing history as a failure of the relay: all rows are read again from
@@ -411,7 +420,7 @@
 {
     requestChanges(8);
     BOOST_TEST(!result);
-    relayStore.feed(RowSet{{}, 9, false, bootNow()});
+    relayStore.feed(RowSet{{}, version(9), false, bootNow()});
     BOOST_TEST(result.has_value());
 }
 
@@ -442,3 +451,52 @@
     BOOST_TEST(requestCount == 0);
     BOOST_TEST(directStore.feeds == 1);
 }
+
+// VMs waited at a relay for a version that the store had yet to assign again, and took the relay's
+// silence for proof that nothing had changed.
+BOOST_FIXTURE_TEST_CASE(followerReadsTableWholeWhenRelayIsInNewEra, Fixture)
+{
+    requestChanges(4);
+    relayStore.nextRead = RowSet{{{"t", "a", "2", {2, 2}, false}}, {2, 3}, false, bootNow()};
+    relayStore.feed(tl::make_unexpected(RowError{RowFault::HistoryGone, "test", {}}));
+    BOOST_REQUIRE(result && !*result);
+    BOOST_TEST((result->error().fault == RowFault::HistoryGone));
+    std::optional<RowResult<RowSet>> whole;
+    relayedStore->read({"t", ""}, 2s, [&](const RowResult<RowSet> &it) { whole = it; });
+    BOOST_REQUIRE(whole && *whole);
+    BOOST_TEST((*whole)->version == StoreVersion(2, 3));
+    BOOST_TEST((*whole)->rows.at(0).version == StoreVersion(2, 2));
+    BOOST_TEST(directStore.feeds == 0);
+}
+
+// A VM that knows of the return follows a relay that doesn't: it waits until the relay does.
+BOOST_FIXTURE_TEST_CASE(relayOfEarlierEraProvesNothing, Fixture)
+{
+    requestChanges(StoreVersion(2, 2));
+    BOOST_TEST(!result);
+    relayStore.feed(RowSet{{}, version(9), false, bootNow()});
+    BOOST_TEST(!result);
+    relayStore.nextRead = RowSet{{{"t", "a", "2", {2, 2}, false}}, {2, 2}, false, bootNow()};
+    relayStore.feed(tl::make_unexpected(RowError{RowFault::HistoryGone, "test", {}}));
+    BOOST_REQUIRE(result && *result);
+    BOOST_TEST((*result)->rows.empty());
+    BOOST_TEST((*result)->version == StoreVersion(2, 2));
+}
+
+// During an update of the fleet, processes that don't know eras ask without one.
+BOOST_FIXTURE_TEST_CASE(requestWithoutEraIsOfRelaysEra, Fixture)
+{
+    peer::v1::FeedAsk request;
+    request.set_number(7);
+    request.set_table("t");
+    request.set_after(4);
+    std::optional<peer::v1::Frame> reply;
+    relay.handleRequest(request, relayFollower.get(),
+                        [&](const peer::v1::Frame &frame) { reply = frame; });
+    BOOST_TEST(!reply);
+    relayStore.feed(RowSet{{{"t", "b", "2", version(6), false}}, version(7), false, bootNow()});
+    BOOST_REQUIRE(reply);
+    BOOST_TEST(reply->feed_answer().version() == 7U);
+    BOOST_TEST(reply->feed_answer().era() == Era);
+    BOOST_TEST(!reply->feed_answer().history_gone());
+}
--- a/gentianplank/node/control/primary_change.cc
+++ b/gentianplank/node/control/primary_change.cc
@@ -48,7 +48,7 @@
     std::weak_ptr<PrimaryChange> self;
     PrimaryChangeEnvironment environment;
     GroupRecord record;
-    uint64_t version = 0;
+    StoreVersion version;
     std::string ownName;
     std::function<void(bool)> onEnd;
     BootInstant begunAt{};
@@ -86,7 +86,7 @@
     changing.epoch = record.epoch + 1;
     changing.phase = GroupPhase::Changing;
     changing.writer = ownName;
-    environment.store(changing, version, [weak = self, changing](RowResult<uint64_t> result) {
+    environment.store(changing, version, [weak = self, changing](RowResult<StoreVersion> result) {
         auto owner = weak.lock();
         if (!owner) {
             return;
@@ -306,26 +306,27 @@
     serving.term = term;
     serving.isOrderly = false;
     serving.writer = ownName;
-    environment.store(
-        serving, version, [weak = self, serving, old = record.primary](RowResult<uint64_t> result) {
-            auto owner = weak.lock();
-            if (!owner) {
-                return;
-            }
-            State &state = *owner->m_state;
-            if (!result && result.error().fault == RowFault::NotDone) {
-                state.scheduleTask(RetryDelay, [](State &it) { it.probeMembers(); });
-                return;
-            }
-            if (!result) {
-                state.finish(false, "could not store the group's record: " + result.error().what);
-                return;
-            }
-            if (old != serving.primary) {
-                state.demoteOldPrimary(serving.term);
-            }
-            state.finish(true, "the primary is " + serving.primary);
-        });
+    environment.store(serving, version,
+                      [weak = self, serving, old = record.primary](RowResult<StoreVersion> result) {
+                          auto owner = weak.lock();
+                          if (!owner) {
+                              return;
+                          }
+                          State &state = *owner->m_state;
+                          if (!result && result.error().fault == RowFault::NotDone) {
+                              state.scheduleTask(RetryDelay, [](State &it) { it.probeMembers(); });
+                              return;
+                          }
+                          if (!result) {
+                              state.finish(false, "could not store the group's record: " +
+                                                      result.error().what);
+                              return;
+                          }
+                          if (old != serving.primary) {
+                              state.demoteOldPrimary(serving.term);
+                          }
+                          state.finish(true, "the primary is " + serving.primary);
+                      });
 }
 
 void PrimaryChange::State::demoteOldPrimary(uint64_t term) const
@@ -351,7 +352,7 @@
 }
 
 PrimaryChange::PrimaryChange(PrimaryChangeEnvironment environment, GroupRecord record,
-                             uint64_t version, std::string ownName,
+                             StoreVersion version, std::string ownName,
                              std::function<void(bool succeeded)> onEnd)
     : m_state(std::make_unique<State>())
 {
--- a/gentianplank/node/control/primary_change.h
+++ b/gentianplank/node/control/primary_change.h
@@ -33,12 +33,13 @@
     // Tells every VM to release the group's primary.
     std::function<void(const std::string &group, uint64_t epoch, bool isOrderly)> notify;
     // Stores a record if its row still has `version`; the result is the new version.
-    std::function<void(const GroupRecord &, uint64_t version,
-                       std::function<void(RowResult<uint64_t>)>)>
+    std::function<void(const GroupRecord &, const StoreVersion &version,
+                       std::function<void(RowResult<StoreVersion>)>)>
         store;
     // Promotes the member if a read just before proves that this VM holds the duty and that the
     // group's row has `version`.
-    std::function<void(const std::string &group, uint64_t version, const std::string &member,
+    std::function<void(const std::string &group, const StoreVersion &version,
+                       const std::string &member,
                        std::function<void(platform::PromotionReply, std::string)>)>
         promote;
 };
@@ -60,7 +61,7 @@
 public:
     // `record` and `version` are the stored record and its row's version; the record is in the
     // serving phase or already in the changing phase.
-    PrimaryChange(PrimaryChangeEnvironment environment, GroupRecord record, uint64_t version,
+    PrimaryChange(PrimaryChangeEnvironment environment, GroupRecord record, StoreVersion version,
                   std::string ownName, std::function<void(bool succeeded)> onEnd);
     ~PrimaryChange();
 
--- a/gentianplank/node/control/primary_change_test.cc
+++ b/gentianplank/node/control/primary_change_test.cc
@@ -38,18 +38,19 @@
         environment.notify = [this](const std::string &, uint64_t epoch, bool) {
             notifiedEpoch = epoch;
         };
-        environment.store = [this](const GroupRecord &record, uint64_t version,
-                                   const std::function<void(RowResult<uint64_t>)> &done) {
+        environment.store = [this](const GroupRecord &record, const StoreVersion &version,
+                                   const std::function<void(RowResult<StoreVersion>)> &done) {
             stored.push_back(record);
             BOOST_TEST(version == rowVersion);
             if (failsStores) {
                 done(tl::make_unexpected(RowError{RowFault::OutcomeUnknown, "test", {}}));
                 return;
             }
-            done(++rowVersion);
+            ++rowVersion.number;
+            done(rowVersion);
         };
         environment.promote =
-            [this](const std::string &, uint64_t version, const std::string &member,
+            [this](const std::string &, const StoreVersion &version, const std::string &member,
                    const std::function<void(platform::PromotionReply, std::string)> &done) {
                 BOOST_TEST(version == rowVersion);
                 promoted.push_back(member);
@@ -96,7 +97,7 @@
     std::vector<std::string> promoted;
     std::string demoted;
     uint64_t notifiedEpoch = 0;
-    uint64_t rowVersion = 50;
+    StoreVersion rowVersion{1, 50};
     bool failsStores = false;
     bool promotionTakesEffect = false;
     platform::PromotionReply promotionAnswer = platform::PromotionReply::Accepted;
--- a/gentianplank/node/testing/entry_fixture.h
+++ b/gentianplank/node/testing/entry_fixture.h
@@ -4,6 +4,7 @@
 #include "gentianplank/base/testing/reserved_address.h"
 #include "gentianplank/node/control/control.h"
 #include "gentianplank/node/traffic/traffic.h"
+#include "gentianplank/standin/configuration_document.h"
 #include "gentianplank/standin/http_table_store.h"
 #include "gentianplank/standin/line_protocol_group.h"
 
@@ -136,20 +137,6 @@
     boost::asio::streambuf m_buffer;
 };
 
-inline std::string configuration(int version, const std::string &keys)
-{
-    return R"({"version":)" + std::to_string(version) + R"(,"routes":[
- {"host":"ledger","route-kind":"read_your_writes","timeout-ms":1500,"target-latency-ms":1000,
-  "priority":1,"service":"g","max-staleness-ms":2000},
- {"host":"main","route-kind":"primary","timeout-ms":1500,"target-latency-ms":600,
-  "priority":1,"service":"g"},
- {"host":"open","route-kind":"primary","timeout-ms":1500,"target-latency-ms":600,
-  "priority":1,"service":"g","public":true}],
- "services":[{"name":"g","connection-limit":16}],"limits":{"transaction-idle-ms":3000},
- "tenants":[{"name":"org","api-keys":[)" +
-           keys + R"(],"rate-per-s":1000000,"burst-size":1000000}]})";
-}
-
 struct EntryFixture
 {
     EntryFixture()
--- a/gentianplank/platform/http_row_store.cc
+++ b/gentianplank/platform/http_row_store.cc
@@ -3,9 +3,11 @@
 #include "gentianplank/base/event_log.h"
 
 #include <absl/strings/escaping.h>
+#include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <charconv>
 
 namespace gentianplank::platform {
 
@@ -35,13 +37,22 @@
     return result;
 }
 
+// Returns nothing unless all of the text is a decimal number.
+std::optional<uint64_t> parseNumber(std::string_view text)
+{
+    uint64_t number = 0;
+    const auto result = std::from_chars(text.data(), text.data() + text.size(), number);
+    const bool isWhole = result.ec == std::errc() && result.ptr == text.data() + text.size();
+    return isWhole ? std::optional<uint64_t>(number) : std::nullopt;
+}
+
 // A value that is not valid base64 becomes empty, which no reader of rows accepts as a document.
-StoredRow decodeRow(const Json &json)
+StoredRow decodeRow(const Json &json, uint64_t era)
 {
     StoredRow row;
     row.table = json.value("table", "");
     row.key = json.at("key").get<std::string>();
-    row.version = json.at("row-version").get<uint64_t>();
+    row.version = {era, json.at("row-version").get<uint64_t>()};
     const auto tombstone = json.find("tombstone");
     row.erased = tombstone != json.end() && *tombstone != Json(false);
     if (!row.erased && !absl::Base64Unescape(json.value("value", ""), &row.value)) {
@@ -50,12 +61,12 @@
     return row;
 }
 
-std::vector<StoredRow> decodeRows(const Json &json)
+std::vector<StoredRow> decodeRows(const Json &json, uint64_t era)
 {
     std::vector<StoredRow> rows;
     for (const Json &it : json.value("rows", Json::array())) {
         if (it.value("part", "").empty()) {
-            rows.push_back(decodeRow(it));
+            rows.push_back(decodeRow(it, era));
         }
     }
     return rows;
@@ -94,7 +105,33 @@
            (!rows.empty() && answerBytes + 3 * largest >= MaxReplyBytes);
 }
 
-RowResult<RowSet> decodeRowSet(const HttpResult &result, StoreClock &clock, BootInstant sentAt)
+Json rowName(const std::string &table, const std::string &key)
+{
+    return {{"table", table}, {"part", ""}, {"key", key}};
+}
+
+} // namespace
+
+tl::expected<uint64_t, RowError> HttpRowStore::readEra(const HttpResponse &response)
+{
+    const auto text = findHeader(response.headers, EraHeader);
+    const auto era = text ? parseNumber(*text) : std::nullopt;
+    if (!era) {
+        const std::string what = text ? "the store's answer has an invalid " +
+                                            std::string(EraHeader) + " '" + *text + "'"
+                                      : "the store's answer has no " + std::string(EraHeader);
+        logEvent("store.era_invalid", {{"status", response.status}, {"what", what}});
+        return tl::make_unexpected(RowError{RowFault::BadAnswer, what, {}});
+    }
+    if (!m_era || *era > *m_era) {
+        logEvent("store.era",
+                 {{"era", *era}, {"previous", m_era.value_or(0)}, {"status", response.status}});
+        m_era = era;
+    }
+    return *era;
+}
+
+RowResult<RowSet> HttpRowStore::decodeRowSet(const HttpResult &result, BootInstant sentAt)
 {
     if (!result) {
         return tl::make_unexpected(errorOf(result.error()));
@@ -102,57 +139,57 @@
     if (result->status != HttpOk) {
         return tl::make_unexpected(errorOf(*result));
     }
+    const auto era = readEra(*result);
+    if (!era) {
+        return tl::make_unexpected(era.error());
+    }
     try {
         const Json json = Json::parse(result->body);
         RowSet set;
-        set.rows = decodeRows(json);
-        set.version = json.at("row-version").get<uint64_t>();
+        set.rows = decodeRows(json, *era);
+        set.version = {*era, json.at("row-version").get<uint64_t>()};
         set.hasMore = json.value("has-more", false);
         set.provenAt = answerTimeLowerBound(
-            clock, sentAt, std::chrono::milliseconds(json.at("now-ms").get<int64_t>()), bootNow());
+            m_clock, sentAt, std::chrono::milliseconds(json.at("now-ms").get<int64_t>()),
+            bootNow());
         return set;
     } catch (const Json::exception &error) {
         return tl::make_unexpected(RowError{RowFault::BadAnswer, error.what(), {}});
     }
 }
 
-RowResult<uint64_t> decodeChange(const HttpResult &result)
+// `expectedEra` is the era of the transaction's conditions, if it has one.
+RowResult<StoreVersion> HttpRowStore::decodeChange(const HttpResult &result,
+                                                   std::optional<uint64_t> expectedEra)
 {
     if (!result) {
         return tl::make_unexpected(errorOf(result.error()));
     }
+    if (result->status != HttpOk && result->status != HttpPreconditionFailed) {
+        return tl::make_unexpected(errorOf(*result));
+    }
+    const auto era = readEra(*result);
+    if (!era) {
+        return tl::make_unexpected(era.error());
+    }
     try {
-        if (result->status == HttpOk) {
-            return Json::parse(result->body).at("row-version").get<uint64_t>();
-        }
+        const Json json = Json::parse(result->body);
         if (result->status == HttpPreconditionFailed) {
             return tl::make_unexpected(RowError{RowFault::ConditionFailed,
                                                 "a row's version differs from the expected one",
-                                                decodeRows(Json::parse(result->body))});
+                                                decodeRows(json, *era)});
+        }
+        if (expectedEra && *expectedEra != *era) {
+            return tl::make_unexpected(RowError{RowFault::OutcomeUnknown,
+                                                "the store applied conditions of era " +
+                                                    std::to_string(*expectedEra) + " in era " +
+                                                    std::to_string(*era),
+                                                {}});
         }
+        return StoreVersion{*era, json.at("row-version").get<uint64_t>()};
     } catch (const Json::exception &error) {
         return tl::make_unexpected(RowError{RowFault::BadAnswer, error.what(), {}});
     }
-    return tl::make_unexpected(errorOf(*result));
-}
-
-Json rowName(const std::string &table, const std::string &key)
-{
-    return {{"table", table}, {"part", ""}, {"key", key}};
-}
-
-} // namespace
-
-void HttpRowStore::noteEra(const HttpResult &result)
-{
-    if (!result) {
-        return;
-    }
-    const std::string era = findHeader(result->headers, EraHeader).value_or("");
-    if (era != m_era) {
-        logEvent("store.era", {{"era", era}, {"previous", m_era}, {"status", result->status}});
-        m_era = era;
-    }
 }
 
 void HttpRowStore::read(RowRange range, Duration timeout,
@@ -165,18 +202,26 @@
     m_client.call({.method = "GET", .target = std::move(target), .body = {}, .headers = {}},
                   timeout,
                   [this, sentAt = bootNow(), done = std::move(done)](const HttpResult &result) {
-                      noteEra(result);
-                      done(decodeRowSet(result, m_clock, sentAt));
+                      done(decodeRowSet(result, sentAt));
                   });
 }
 
 void HttpRowStore::change(RowTransaction transaction, Duration timeout,
-                          std::function<void(RowResult<uint64_t>)> done)
+                          std::function<void(RowResult<StoreVersion>)> done)
 {
+    const auto expectedEra = conditionEra(transaction);
+    if (expectedEra && m_era && *expectedEra < *m_era) {
+        // The store may have assigned the same version numbers to other contents.
+        boost::asio::post(m_client.ioContext(), [done = std::move(done)] {
+            done(tl::make_unexpected(RowError{
+                RowFault::ConditionFailed, "a condition expects a version of an earlier era", {}}));
+        });
+        return;
+    }
     Json body{{"expected", Json::array()}, {"writes", Json::array()}, {"deletes", Json::array()}};
     for (const RowCondition &it : transaction.conditions) {
         Json row = rowName(it.table, it.key);
-        row["row-version"] = it.version;
+        row["row-version"] = it.version.number;
         body["expected"].push_back(std::move(row));
     }
     for (const StoredRow &it : transaction.writes) {
@@ -188,28 +233,28 @@
         body["deletes"].push_back(rowName(it.table, it.key));
     }
     m_client.call({.method = "POST", .target = "/rows-tx", .body = body.dump(), .headers = {}},
-                  timeout, [this, done = std::move(done)](const HttpResult &result) {
-                      noteEra(result);
-                      done(decodeChange(result));
+                  timeout, [this, expectedEra, done = std::move(done)](const HttpResult &result) {
+                      done(decodeChange(result, expectedEra));
                   });
 }
 
-void HttpRowStore::changesAfter(std::string table, uint64_t after, Duration wait, Duration timeout,
-                                std::function<void(RowResult<RowSet>)> done)
+void HttpRowStore::changesAfter(std::string table, StoreVersion after, Duration wait,
+                                Duration timeout, std::function<void(RowResult<RowSet>)> done)
 {
     m_client.call(
         {.method = "GET",
-         .target = "/rows-feed?table=" + percentEncode(table) + "&after=" + std::to_string(after) +
+         .target = "/rows-feed?table=" + percentEncode(table) +
+                   "&after=" + std::to_string(after.number) +
                    "&wait-ms=" + std::to_string(toMilliseconds(wait)),
          .body = {},
          .headers = {}},
-        timeout, [this, sentAt = bootNow(), done = std::move(done)](const HttpResult &result) {
-            noteEra(result);
-            auto set = decodeRowSet(result, m_clock, sentAt);
+        timeout,
+        [this, after, sentAt = bootNow(), done = std::move(done)](const HttpResult &result) {
+            auto set = decodeRowSet(result, sentAt);
             if (set) {
                 set->hasMore = mayBeTruncated(set->rows, result->body.size());
             }
-            done(std::move(set));
+            done(asContinuation(std::move(set), after));
         });
 }
 
--- a/gentianplank/platform/http_row_store.h
+++ b/gentianplank/platform/http_row_store.h
@@ -7,8 +7,9 @@
 
 namespace gentianplank::platform {
 
-// Not thread-safe; use on the thread that runs `client`. The store must outlive all calls made with
-// it, and `client` must outlive the store.
+// An answer that should hold rows or a version but names no valid era of the store fails with
+// BadAnswer. Not thread-safe; use on the thread that runs `client`. The store must outlive all
+// calls made with it, and `client` must outlive the store.
 class HttpRowStore : public RowStore
 {
 public:
@@ -19,16 +20,20 @@
     void read(RowRange range, Duration timeout,
               std::function<void(RowResult<RowSet>)> done) override;
     void change(RowTransaction transaction, Duration timeout,
-                std::function<void(RowResult<uint64_t>)> done) override;
-    void changesAfter(std::string table, uint64_t after, Duration wait, Duration timeout,
+                std::function<void(RowResult<StoreVersion>)> done) override;
+    void changesAfter(std::string table, StoreVersion after, Duration wait, Duration timeout,
                       std::function<void(RowResult<RowSet>)> done) override;
 
 private:
-    // Logs the era that the store names in an answer when it differs from that of the last answer.
-    void noteEra(const HttpResult &result);
+    // Records the era that the store names in an answer and returns it, or an error if it names
+    // none.
+    tl::expected<uint64_t, RowError> readEra(const HttpResponse &response);
+    RowResult<RowSet> decodeRowSet(const HttpResult &result, BootInstant sentAt);
+    RowResult<StoreVersion> decodeChange(const HttpResult &result, std::optional<uint64_t> era);
 
-    std::string m_era;
     HttpClient &m_client;
+    // The latest era that the store has named; empty before its first answer.
+    std::optional<uint64_t> m_era;
     StoreClock m_clock;
 };
 
--- a/gentianplank/platform/http_row_store_test.cc
+++ b/gentianplank/platform/http_row_store_test.cc
@@ -23,12 +23,13 @@
         return std::move(*result);
     }
 
-    RowResult<uint64_t> write(const std::string &key, const std::string &value, uint64_t version)
+    RowResult<StoreVersion> write(const std::string &key, const std::string &value,
+                                  const StoreVersion &version)
     {
         RowTransaction transaction;
         transaction.conditions.push_back({"t", key, version});
-        transaction.writes.push_back({"t", key, value, 0, false});
-        return wait<RowResult<uint64_t>>(
+        transaction.writes.push_back({"t", key, value, {}, false});
+        return wait<RowResult<StoreVersion>>(
             [&](auto done) { store.change(transaction, 300ms, std::move(done)); });
     }
 
@@ -39,7 +40,7 @@
         });
     }
 
-    RowResult<RowSet> feed(uint64_t after)
+    RowResult<RowSet> feed(const StoreVersion &after)
     {
         return wait<RowResult<RowSet>>(
             [&](auto done) { store.changesAfter("t", after, 10ms, 300ms, std::move(done)); });
@@ -55,7 +56,7 @@
 
 BOOST_FIXTURE_TEST_CASE(conditionalWritesAndReadsReturnRowVersions, Fixture)
 {
-    const auto first = write("a/b c", std::string("va") + '\0' + "lue", 0);
+    const auto first = write("a/b c", std::string("va") + '\0' + "lue", {});
     BOOST_REQUIRE(first);
     const auto rows = read();
     BOOST_REQUIRE(rows);
@@ -64,7 +65,7 @@
     BOOST_TEST(rows->rows[0].version == *first);
     BOOST_TEST((rows->provenAt > BootInstant{}));
     BOOST_TEST((rows->provenAt <= bootNow()));
-    const auto again = write("a/b c", "other", 0);
+    const auto again = write("a/b c", "other", {});
     BOOST_REQUIRE(!again);
     BOOST_TEST((again.error().fault == RowFault::ConditionFailed));
     BOOST_TEST(again.error().present.at(0).version == *first);
@@ -73,8 +74,8 @@
 
 BOOST_FIXTURE_TEST_CASE(feedReturnsChangesAndReportsMissingHistory, Fixture)
 {
-    const uint64_t version = *write("a", "1", 0);
-    write("b", "2", 0);
+    const StoreVersion version = *write("a", "1", {});
+    write("b", "2", {});
     const auto changes = feed(version);
     BOOST_REQUIRE(changes);
     BOOST_TEST(changes->rows.size() == 1U);
@@ -91,17 +92,17 @@
 BOOST_FIXTURE_TEST_CASE(feedReplyNearSizeLimitIsTreatedAsTruncated, Fixture)
 {
     const std::string large(40000, 'x');
-    BOOST_REQUIRE(write("small", "1", 0));
-    const auto few = feed(0);
+    BOOST_REQUIRE(write("small", "1", {}));
+    const auto few = feed({1, 0});
     BOOST_REQUIRE(few);
     BOOST_TEST(!few->hasMore);
     for (int i = 0; i < 20; ++i) {
-        BOOST_REQUIRE(write("large-" + std::to_string(i), large, 0));
+        BOOST_REQUIRE(write("large-" + std::to_string(i), large, {}));
     }
-    const auto many = feed(0);
+    const auto many = feed({1, 0});
     BOOST_REQUIRE(many);
     BOOST_TEST(many->hasMore);
-    const auto last = feed(many->version - 2);
+    const auto last = feed({many->version.era, many->version.number - 2});
     BOOST_REQUIRE(last);
     BOOST_TEST(!last->hasMore);
 }
@@ -109,7 +110,7 @@
 BOOST_FIXTURE_TEST_CASE(busyStoreReportsNotDone, Fixture)
 {
     platform.setFault(HttpTableStore::Fault::Busy);
-    const auto result = write("a", "1", 0);
+    const auto result = write("a", "1", {});
     BOOST_REQUIRE(!result);
     BOOST_TEST((result.error().fault == RowFault::NotDone));
     platform.setFault(HttpTableStore::Fault::None);
@@ -119,7 +120,7 @@
 BOOST_FIXTURE_TEST_CASE(lostReplyReportsUnknownOutcome, Fixture)
 {
     platform.setFault(HttpTableStore::Fault::LostAnswers);
-    const auto result = write("a", "1", 0);
+    const auto result = write("a", "1", {});
     BOOST_REQUIRE(!result);
     BOOST_TEST((result.error().fault == RowFault::OutcomeUnknown));
     platform.setFault(HttpTableStore::Fault::None);
@@ -137,6 +138,68 @@
     BOOST_TEST((result.error().fault == RowFault::NotDone));
 }
 
+// Guards against treating an answer as one of an unknown era, where its version numbers may mean
+// anything.
+BOOST_FIXTURE_TEST_CASE(answerWithoutValidEraIsRejected, Fixture)
+{
+    const auto version = write("a", "1", {});
+    BOOST_REQUIRE(version);
+    for (const std::optional<std::string> &text :
+         {std::optional<std::string>(), std::optional<std::string>(""),
+          std::optional<std::string>("two"), std::optional<std::string>("-1"),
+          std::optional<std::string>("1x"), std::optional<std::string>("99999999999999999999")}) {
+        platform.setEraHeader(text);
+        const auto rows = read();
+        BOOST_REQUIRE(!rows);
+        BOOST_TEST((rows.error().fault == RowFault::BadAnswer));
+        BOOST_TEST(rows.error().what.find("Store-Era") != std::string::npos);
+        BOOST_TEST((feed(*version).error().fault == RowFault::BadAnswer));
+        BOOST_TEST((write("b", "1", {}).error().fault != RowFault::NotDone));
+    }
+    platform.setEraHeader("1");
+    BOOST_TEST(read().has_value());
+    BOOST_TEST(write("a", "2", *version).has_value());
+}
+
+// Guards against a feed that is continued from a version number that was assigned again: the
+// changes below it were never read.
+BOOST_FIXTURE_TEST_CASE(feedOfEarlierEraIsNotContinued, Fixture)
+{
+    const HttpTableStore::Copy copy = platform.copy();
+    const StoreVersion followed = *write("a", "1", {});
+    platform.restore(copy);
+    for (int i = 0; i < 5; ++i) {
+        platform.put("t", "b", std::to_string(i));
+    }
+    const auto changes = feed(followed);
+    BOOST_REQUIRE(!changes);
+    BOOST_TEST((changes.error().fault == RowFault::HistoryGone));
+    const auto rows = read();
+    BOOST_REQUIRE(rows);
+    BOOST_TEST(rows->version > followed);
+    BOOST_TEST(feed(rows->version).has_value());
+}
+
+// Guards against a condition that holds for another content, since its version number was assigned
+// again.
+BOOST_FIXTURE_TEST_CASE(conditionOfEarlierEraDoesNotHold, Fixture)
+{
+    const HttpTableStore::Copy copy = platform.copy();
+    const StoreVersion version = *write("a", "mine", {});
+    platform.restore(copy);
+    platform.put("t", "a", "other");
+    BOOST_TEST(platform.get("t", "a")->second == version.number);
+    // The client doesn't know of the new era yet, so the store applies the write.
+    const auto unaware = write("a", "mine again", version);
+    BOOST_REQUIRE(!unaware);
+    BOOST_TEST((unaware.error().fault == RowFault::OutcomeUnknown));
+    const uint64_t calls = platform.calls();
+    const auto aware = write("a", "mine again", version);
+    BOOST_REQUIRE(!aware);
+    BOOST_TEST((aware.error().fault == RowFault::ConditionFailed));
+    BOOST_TEST(platform.calls() == calls);
+}
+
 BOOST_FIXTURE_TEST_CASE(promotionResultFollowsHttpStatusOrLostReply, Fixture)
 {
     using platform::PromotionReply;
--- a/gentianplank/platform/names_test.cc
+++ b/gentianplank/platform/names_test.cc
@@ -12,11 +12,11 @@
 
 // Names that are distinctive enough not to occur by chance.
 const std::vector<std::string> PlatformNames{
-    "route-kind",        "max-staleness-ms",   "rows-tx",        "rows-get",
-    "rows-feed",         "Fence-Token",        "cold-remaining", "slot-count",
-    "LAGGING",           "MISROUTED",          "READONLY",       "TOOMANY",
-    "database-role",     "X-Gentianplank",     "api-keys",       "rate-per-s",
-    "target-latency-ms", "internal-port-range"};
+    "route-kind",        "max-staleness-ms",    "rows-tx",        "rows-get",
+    "rows-feed",         "Fence-Token",         "cold-remaining", "slot-count",
+    "LAGGING",           "MISROUTED",           "READONLY",       "TOOMANY",
+    "database-role",     "X-Gentianplank",      "api-keys",       "rate-per-s",
+    "target-latency-ms", "internal-port-range", "Store-Era"};
 
 bool isExempt(const fs::path &path)
 {
--- a/gentianplank/store/row_store.h
+++ b/gentianplank/store/row_store.h
@@ -5,32 +5,34 @@
 #pragma once
 
 #include "gentianplank/base/boot_clock.h"
+#include "gentianplank/store/store_version.h"
 
 #include <tl/expected.hpp>
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace gentianplank {
 
-// A row with the version of its last write. Version 0 stands for a row that doesn't exist.
+// A row with the version of its last write.
 struct StoredRow
 {
     std::string table;
     std::string key;
     std::string value;
-    uint64_t version = 0;
+    StoreVersion version;
     bool erased = false;
 };
 
-// Requires that a row has `version`; 0 requires that it doesn't exist.
+// Requires that a row has `version`; an absent version requires that it doesn't exist.
 struct RowCondition
 {
     std::string table;
     std::string key;
-    uint64_t version = 0;
+    StoreVersion version;
 };
 
 // All writes and erasures take effect if every condition holds, otherwise none.
@@ -45,12 +47,12 @@
 struct RowSet
 {
     std::vector<StoredRow> rows;
-    // The store's newest version when the rows were read.
-    uint64_t version = 0;
+    // The store's newest version when the rows were read. All rows are of its era.
+    StoreVersion version;
     // The answer may be truncated: the store may have more of the requested rows. `provenAt`
     // doesn't apply then.
     bool hasMore = false;
-    // Everything acknowledged before this time is included.
+    // Everything acknowledged in this era before this time is included.
     BootInstant provenAt{};
 };
 
@@ -61,7 +63,7 @@
     OutcomeUnknown,
     // A condition didn't hold.
     ConditionFailed,
-    // The store no longer keeps the requested changes.
+    // The store no longer keeps the requested changes, or is in a later era.
     HistoryGone,
     // The answer can't be parsed.
     BadAnswer,
@@ -78,6 +80,14 @@
 template <typename T>
 using RowResult = tl::expected<T, RowError>;
 
+// Returns the earliest era of the versions that the conditions require; nullopt if they require
+// only absent rows.
+std::optional<uint64_t> conditionEra(const RowTransaction &transaction);
+
+// Returns the answer to a feed request after a version, or HistoryGone if the answer is of another
+// era: numbers of an earlier era say nothing about what changed.
+RowResult<RowSet> asContinuation(RowResult<RowSet> changes, const StoreVersion &after);
+
 struct RowRange
 {
     std::string table;
@@ -95,14 +105,16 @@
     virtual void read(RowRange range, Duration timeout,
                       std::function<void(RowResult<RowSet>)> done) = 0;
 
-    // Runs a transaction. The result is the version given to the rows written.
+    // Runs a transaction. The result is the version given to the rows written. Conditions on rows
+    // of an earlier era don't hold.
     virtual void change(RowTransaction transaction, Duration timeout,
-                        std::function<void(RowResult<uint64_t>)> done) = 0;
+                        std::function<void(RowResult<StoreVersion>)> done) = 0;
 
     // Long poll: answers as soon as there are changes of `table` after version `after`, or after
-    // `wait` without any. `timeout` spans the whole call.
-    virtual void changesAfter(std::string table, uint64_t after, Duration wait, Duration timeout,
-                              std::function<void(RowResult<RowSet>)> done) = 0;
+    // `wait` without any. `timeout` spans the whole call. Fails with HistoryGone if the store is in
+    // another era than `after`.
+    virtual void changesAfter(std::string table, StoreVersion after, Duration wait,
+                              Duration timeout, std::function<void(RowResult<RowSet>)> done) = 0;
 };
 
 } // namespace gentianplank
--- a/gentianplank/store/table_follower.cc
+++ b/gentianplank/store/table_follower.cc
@@ -59,7 +59,15 @@
             retry(result.error().what);
             return;
         }
+        if (result->version.era < version.era) {
+            retry("the answer is of an earlier era of the store");
+            return;
+        }
         const bool isFirst = pageRows.empty();
+        if (!isFirst && result->version.era != firstPageVersion.era) {
+            readAll();
+            return;
+        }
         if (isFirst) {
             firstPageVersion = result->version;
             firstPageProvenAt = result->provenAt;
@@ -71,6 +79,15 @@
             readPage(next);
             return;
         }
+        if (!isAbsent(version) && firstPageVersion.era > version.era) {
+            logEvent("store.new_era", {{"table", table},
+                                       {"era", firstPageVersion.era},
+                                       {"version", firstPageVersion.number},
+                                       {"known_version", toString(version)}});
+            if (listener.onNewEra) {
+                listener.onNewEra(firstPageVersion.era);
+            }
+        }
         replaceAll();
         clearHistory();
         version = firstPageVersion;
@@ -136,10 +153,6 @@
             retry(result.error().what);
             return;
         }
-        if (result->version < version) {
-            logEvent("store.version_decreased",
-                     {{"table", table}, {"version", result->version}, {"known", version}});
-        }
         version = std::max(version, result->version);
         const BootInstant at = result->provenAt;
         const bool hasChanges = !result->rows.empty();
@@ -173,7 +186,6 @@
 
     void apply(std::vector<StoredRow> changes)
     {
-        logIgnored(changes);
         std::erase_if(changes, [this](const StoredRow &it) {
             const auto known = rows.find(it.key);
             if (known == rows.end()) {
@@ -195,27 +207,12 @@
         }
     }
 
-    void logIgnored(const std::vector<StoredRow> &changes) const
-    {
-        for (const StoredRow &it : changes) {
-            const auto known = rows.find(it.key);
-            if (known != rows.end() && it.version < known->second.version) {
-                logEvent("store.row_ignored", {{"table", table},
-                                               {"key", it.key},
-                                               {"erased", it.erased},
-                                               {"same_value", it.value == known->second.value},
-                                               {"row_version", it.version},
-                                               {"known_row_version", known->second.version}});
-            }
-        }
-    }
-
     // Drops the intermediate states of rows that changed several times.
     static void keepNewestPerKey(std::vector<StoredRow> &changes)
     {
-        std::map<std::string, uint64_t> newest;
+        std::map<std::string, StoreVersion> newest;
         for (const StoredRow &it : changes) {
-            uint64_t &last = newest[it.key];
+            StoreVersion &last = newest[it.key];
             last = std::max(last, it.version);
         }
         std::erase_if(changes, [&](const StoredRow &it) { return it.version < newest[it.key]; });
@@ -223,7 +220,7 @@
 
     void addToHistory(const StoredRow &row)
     {
-        uint64_t &known = historyVersionByKey[row.key];
+        StoreVersion &known = historyVersionByKey[row.key];
         history.erase(known);
         known = row.version;
         history[known] = row;
@@ -235,9 +232,9 @@
         }
     }
 
-    bool hasHistoryAfter(uint64_t after) const
+    bool hasHistoryAfter(StoreVersion after) const
     {
-        return version != 0 && after >= historyStartVersion;
+        return !isAbsent(version) && after >= historyStartVersion;
     }
 
     void clearHistory()
@@ -268,7 +265,7 @@
         auto weak = weak_from_this();
         scheduler(retryDelay, [weak] {
             if (auto self = weak.lock()) {
-                if (self->version == 0) {
+                if (isAbsent(self->version)) {
                     self->readAll();
                 } else {
                     self->follow();
@@ -286,9 +283,9 @@
     Duration retryDelay;
     std::map<std::string, StoredRow> rows;
     std::vector<StoredRow> pageRows;
-    uint64_t firstPageVersion = 0;
+    StoreVersion firstPageVersion;
     BootInstant firstPageProvenAt{};
-    uint64_t version = 0;
+    StoreVersion version;
     BootInstant provenAt{};
     bool isReachable = false;
     bool needsImmediateRead = false;
@@ -297,9 +294,9 @@
     std::deque<BootInstant> recentChangeTimes;
     // The newest change of each row that changed after `historyStartVersion`, by version; and that
     // version by key.
-    std::map<uint64_t, StoredRow> history;
-    std::map<std::string, uint64_t> historyVersionByKey;
-    uint64_t historyStartVersion = 0;
+    std::map<StoreVersion, StoredRow> history;
+    std::map<std::string, StoreVersion> historyVersionByKey;
+    StoreVersion historyStartVersion;
 };
 
 TableFollower::TableFollower(RowStore &store, Scheduler scheduler, std::string table,
@@ -326,7 +323,7 @@
     return m_state->provenAt;
 }
 
-std::optional<std::vector<StoredRow>> TableFollower::changesAfter(uint64_t version) const
+std::optional<std::vector<StoredRow>> TableFollower::changesAfter(StoreVersion version) const
 {
     if (!m_state->hasHistoryAfter(version)) {
         return std::nullopt;
@@ -338,13 +335,13 @@
     return changes;
 }
 
-bool TableFollower::isUnchangedSince(uint64_t version) const
+bool TableFollower::isUnchangedSince(StoreVersion version) const
 {
     const auto &history = m_state->history;
     return m_state->hasHistoryAfter(version) && history.upper_bound(version) == history.end();
 }
 
-uint64_t TableFollower::version() const
+StoreVersion TableFollower::version() const
 {
     return m_state->version;
 }
--- a/gentianplank/store/table_follower.h
+++ b/gentianplank/store/table_follower.h
@@ -41,6 +41,10 @@
 // Callbacks of a follower, called on its thread.
 struct TableFollowerListener
 {
+    // The store came back from an older copy, in a later era than the last answer's. The next
+    // onChanges holds all of the table's rows, and the known ones that the copy lacks as erased.
+    // May be empty.
+    std::function<void(uint64_t era)> onNewEra;
     // Rows that were written or erased. Changes from the feed are in the order of their versions.
     std::function<void(const std::vector<StoredRow> &)> onChanges;
     // All changes acknowledged before `provenAt` are included. Called after onChanges.
@@ -67,13 +71,13 @@
 
     // Returns the rows that changed after a version, in the order of their versions; nullopt if the
     // history doesn't reach back to the version.
-    std::optional<std::vector<StoredRow>> changesAfter(uint64_t version) const;
+    std::optional<std::vector<StoredRow>> changesAfter(StoreVersion version) const;
 
     // Whether no row changed after a version. False if the history doesn't reach back to it.
-    bool isUnchangedSince(uint64_t version) const;
+    bool isUnchangedSince(StoreVersion version) const;
 
     // Returns the store's version as of which the rows are known.
-    uint64_t version() const;
+    StoreVersion version() const;
 
     // Whether the last call to the store succeeded.
     bool isReachable() const;
--- a/gentianplank/store/table_follower_test.cc
+++ b/gentianplank/store/table_follower_test.cc
@@ -7,6 +7,13 @@
 
 namespace {
 
+constexpr uint64_t Era = 1;
+
+StoreVersion version(uint64_t number)
+{
+    return {Era, number};
+}
+
 // Holds calls until the test answers them.
 class StoreMock : public RowStore
 {
@@ -16,8 +23,8 @@
         ranges.push_back(range);
         reads.push_back(std::move(done));
     }
-    void change(RowTransaction, Duration, std::function<void(RowResult<uint64_t>)>) override {}
-    void changesAfter(std::string, uint64_t after, Duration wait, Duration,
+    void change(RowTransaction, Duration, std::function<void(RowResult<StoreVersion>)>) override {}
+    void changesAfter(std::string, StoreVersion after, Duration wait, Duration,
                       std::function<void(RowResult<RowSet>)> done) override
     {
         pollVersions.push_back(after);
@@ -27,7 +34,7 @@
 
     std::vector<RowRange> ranges;
     std::vector<std::function<void(RowResult<RowSet>)>> reads;
-    std::vector<uint64_t> pollVersions;
+    std::vector<StoreVersion> pollVersions;
     std::vector<Duration> pollWaits;
     std::vector<std::function<void(RowResult<RowSet>)>> polls;
 };
@@ -44,6 +51,7 @@
             changes.insert(changes.end(), rows.begin(), rows.end());
         };
         listener.onUpToDate = [this](BootInstant) { ++upToDateCalls; };
+        listener.onNewEra = [this](uint64_t era) { newEras.push_back(era); };
         listener.onReachable = [this](bool isReachable, const std::string &) {
             reachable.push_back(isReachable);
         };
@@ -62,15 +70,16 @@
         start(settings);
     }
 
-    static StoredRow row(const std::string &key, uint64_t version)
+    static StoredRow row(const std::string &key, uint64_t number)
     {
-        return {"t", key, "value of " + key, version, false};
+        return {"t", key, "value of " + key, version(number), false};
     }
 
     StoreMock store;
     std::vector<std::function<void()>> tasks;
     std::vector<StoredRow> changes;
     std::vector<bool> reachable;
+    std::vector<uint64_t> newEras;
     int upToDateCalls = 0;
     std::unique_ptr<TableFollower> follower;
 };
@@ -84,40 +93,40 @@
 
 BOOST_FIXTURE_TEST_CASE(tableIsUpToDateOnlyAfterAllPagesAreRead, Fixture)
 {
-    store.reads[0](RowSet{{row("a", 3), row("b", 4)}, 9, true, {}});
+    store.reads[0](RowSet{{row("a", 3), row("b", 4)}, version(9), true, {}});
     BOOST_TEST(upToDateCalls == 0);
     BOOST_TEST(store.ranges[1].from == std::string("b\0", 2));
-    store.reads[1](RowSet{{row("c", 5)}, 12, false, {}});
+    store.reads[1](RowSet{{row("c", 5)}, version(12), false, {}});
     BOOST_TEST(upToDateCalls == 1);
     BOOST_TEST(follower->rows().size() == 3U);
     // Changes made while the pages were read are polled for.
-    BOOST_TEST(store.pollVersions[0] == 9U);
+    BOOST_TEST(store.pollVersions[0] == version(9));
 }
 
 // Guards against a flood of reads when a whole fleet starts and its tables change many times.
 BOOST_FIXTURE_TEST_CASE(changesDuringStartupAreCoalesced, Fixture)
 {
-    store.reads[0](RowSet{{row("a", 3)}, 3, false, {}});
-    store.polls[0](RowSet{{row("a", 4)}, 4, false, {}});
+    store.reads[0](RowSet{{row("a", 3)}, version(3), false, {}});
+    store.polls[0](RowSet{{row("a", 4)}, version(4), false, {}});
     BOOST_TEST(store.polls.size() == 1U);
     BOOST_REQUIRE(tasks.size() == 1U);
     tasks[0]();
     BOOST_TEST(store.polls.size() == 2U);
     // An answer without changes is followed by the next poll immediately.
-    store.polls[1](RowSet{{}, 4, false, {}});
+    store.polls[1](RowSet{{}, version(4), false, {}});
     BOOST_TEST(store.polls.size() == 3U);
 }
 
 BOOST_FIXTURE_TEST_CASE(changesAreReportedOnceInVersionOrder, Fixture)
 {
     skipStartupPeriod();
-    store.reads[0](RowSet{{row("a", 3)}, 3, false, {}});
-    store.polls[0](RowSet{{row("a", 5), row("a", 3)}, 6, false, {}});
-    BOOST_TEST(follower->rows().at("a").version == 5U);
-    BOOST_TEST(store.pollVersions[1] == 6U);
+    store.reads[0](RowSet{{row("a", 3)}, version(3), false, {}});
+    store.polls[0](RowSet{{row("a", 5), row("a", 3)}, version(6), false, {}});
+    BOOST_TEST(follower->rows().at("a").version == version(5));
+    BOOST_TEST(store.pollVersions[1] == version(6));
     StoredRow erasedRow = row("a", 8);
     erasedRow.erased = true;
-    store.polls[1](RowSet{{erasedRow}, 8, false, {}});
+    store.polls[1](RowSet{{erasedRow}, version(8), false, {}});
     BOOST_TEST(follower->rows().empty());
     BOOST_TEST(changes.size() == 3U);
 }
@@ -127,13 +136,13 @@
 BOOST_FIXTURE_TEST_CASE(droppedStoreHistoryTriggersFullRead, Fixture)
 {
     skipStartupPeriod();
-    store.reads[0](RowSet{{row("a", 3), row("b", 4)}, 4, false, {}});
-    store.polls[0](RowSet{{row("b", 7)}, 7, false, {}});
+    store.reads[0](RowSet{{row("a", 3), row("b", 4)}, version(4), false, {}});
+    store.polls[0](RowSet{{row("b", 7)}, version(7), false, {}});
     store.polls[1](failed(RowFault::HistoryGone));
     BOOST_TEST(store.reads.size() == 2U);
-    store.reads[1](RowSet{{row("b", 4), row("c", 9)}, 9, false, {}});
+    store.reads[1](RowSet{{row("b", 4), row("c", 9)}, version(9), false, {}});
     BOOST_TEST(follower->rows().count("a") == 0U);
-    BOOST_TEST(follower->rows().at("b").version == 7U);
+    BOOST_TEST(follower->rows().at("b").version == version(7));
     BOOST_TEST(follower->rows().count("c") == 1U);
 }
 
@@ -142,14 +151,14 @@
 BOOST_FIXTURE_TEST_CASE(truncatedAnswerDoesNotMarkTableUpToDate, Fixture)
 {
     skipStartupPeriod();
-    store.reads[0](RowSet{{row("a", 3)}, 5, false, bootNow()});
+    store.reads[0](RowSet{{row("a", 3)}, version(5), false, bootNow()});
     const int before = upToDateCalls;
-    store.polls.at(0)(RowSet{{row("a", 6)}, 6, true, bootNow()});
+    store.polls.at(0)(RowSet{{row("a", 6)}, version(6), true, bootNow()});
     BOOST_TEST(upToDateCalls == before);
-    BOOST_TEST(follower->rows().at("a").version == 6U);
+    BOOST_TEST(follower->rows().at("a").version == version(6));
     BOOST_REQUIRE(store.pollVersions.size() == 2U);
-    BOOST_TEST(store.pollVersions[1] == 6U);
-    store.polls.at(1)(RowSet{{row("a", 8)}, 9, false, bootNow()});
+    BOOST_TEST(store.pollVersions[1] == version(6));
+    store.polls.at(1)(RowSet{{row("a", 8)}, version(9), false, bootNow()});
     BOOST_TEST(upToDateCalls == before + 1);
 }
 
@@ -157,33 +166,34 @@
 BOOST_FIXTURE_TEST_CASE(onlyNewestVersionOfRepeatedlyChangedRowIsReported, Fixture)
 {
     skipStartupPeriod();
-    store.reads[0](RowSet{{row("a", 3), row("b", 2)}, 5, false, bootNow()});
+    store.reads[0](RowSet{{row("a", 3), row("b", 2)}, version(5), false, bootNow()});
     changes.clear();
-    store.polls.at(0)(RowSet{{row("a", 6), row("b", 7), row("a", 8)}, 8, false, bootNow()});
+    store.polls.at(0)(
+        RowSet{{row("a", 6), row("b", 7), row("a", 8)}, version(8), false, bootNow()});
     BOOST_REQUIRE(changes.size() == 2U);
     BOOST_TEST(changes[0].key == "b");
-    BOOST_TEST(changes[1].version == 8U);
-    const auto historyChanges = follower->changesAfter(5);
+    BOOST_TEST(changes[1].version == version(8));
+    const auto historyChanges = follower->changesAfter(version(5));
     BOOST_REQUIRE(historyChanges);
     BOOST_REQUIRE(historyChanges->size() == 2U);
-    BOOST_TEST((*historyChanges)[1].version == 8U);
-    BOOST_TEST(follower->changesAfter(7)->size() == 1U);
+    BOOST_TEST((*historyChanges)[1].version == version(8));
+    BOOST_TEST(follower->changesAfter(version(7))->size() == 1U);
 }
 
 // VMs that follow the table through this one read their changes from its history.
 BOOST_FIXTURE_TEST_CASE(historyAnswersChangesAfterItsStartVersion, Fixture)
 {
     skipStartupPeriod();
-    store.reads[0](RowSet{{row("a", 3)}, 4, false, {}});
-    BOOST_TEST(!follower->changesAfter(3));
-    BOOST_TEST(follower->changesAfter(4)->empty());
-    store.polls[0](RowSet{{row("b", 6)}, 7, false, {}});
-    BOOST_TEST(follower->changesAfter(4)->size() == 1U);
-    BOOST_TEST(follower->changesAfter(6)->empty());
-    BOOST_TEST(follower->version() == 7U);
-    BOOST_TEST(!follower->isUnchangedSince(3));
-    BOOST_TEST(!follower->isUnchangedSince(4));
-    BOOST_TEST(follower->isUnchangedSince(6));
+    store.reads[0](RowSet{{row("a", 3)}, version(4), false, {}});
+    BOOST_TEST(!follower->changesAfter(version(3)));
+    BOOST_TEST(follower->changesAfter(version(4))->empty());
+    store.polls[0](RowSet{{row("b", 6)}, version(7), false, {}});
+    BOOST_TEST(follower->changesAfter(version(4))->size() == 1U);
+    BOOST_TEST(follower->changesAfter(version(6))->empty());
+    BOOST_TEST(follower->version() == version(7));
+    BOOST_TEST(!follower->isUnchangedSince(version(3)));
+    BOOST_TEST(!follower->isUnchangedSince(version(4)));
+    BOOST_TEST(follower->isUnchangedSince(version(6)));
 }
 
 BOOST_FIXTURE_TEST_CASE(failedCallIsRetriedAndDoesNotMarkTableUpToDate, Fixture)
@@ -192,11 +202,11 @@
     BOOST_TEST(upToDateCalls == 0);
     BOOST_REQUIRE(tasks.size() == 1U);
     tasks[0]();
-    store.reads[1](RowSet{{row("a", 3)}, 3, false, {}});
+    store.reads[1](RowSet{{row("a", 3)}, version(3), false, {}});
     store.polls[0](failed(RowFault::OutcomeUnknown));
     BOOST_TEST(!follower->isReachable());
     tasks[1]();
-    store.polls[1](RowSet{{}, 3, false, {}});
+    store.polls[1](RowSet{{}, version(3), false, {}});
     BOOST_TEST(upToDateCalls == 2);
     BOOST_TEST(reachable.size() == 3U);
 }
@@ -207,18 +217,73 @@
 BOOST_FIXTURE_TEST_CASE(delayedAnswerIsFollowedByOneImmediateRead, Fixture)
 {
     skipStartupPeriod();
-    store.reads.back()(RowSet{{}, 4, false, bootNow()});
+    store.reads.back()(RowSet{{}, version(4), false, bootNow()});
     BOOST_TEST((store.pollWaits.back() == 1s));
-    store.polls.back()(RowSet{{}, 4, false, bootNow() - 900ms});
+    store.polls.back()(RowSet{{}, version(4), false, bootNow() - 900ms});
     BOOST_TEST((store.pollWaits.back() == 0s));
     // If the proof is still old, the immediate read isn't repeated.
-    store.polls.back()(RowSet{{}, 4, false, bootNow() - 900ms});
+    store.polls.back()(RowSet{{}, version(4), false, bootNow() - 900ms});
     BOOST_TEST((store.pollWaits.back() == 1s));
-    store.polls.back()(RowSet{{}, 4, false, bootNow()});
+    store.polls.back()(RowSet{{}, version(4), false, bootNow()});
     BOOST_TEST((store.pollWaits.back() == 1s));
     // Retries during an outage aren't immediate reads either.
-    store.polls.back()(RowSet{{}, 4, false, bootNow() - 900ms});
+    store.polls.back()(RowSet{{}, version(4), false, bootNow() - 900ms});
     store.polls.back()(tl::make_unexpected(RowError{RowFault::NotDone, "test", {}}));
     tasks.back()();
     BOOST_TEST((store.pollWaits.back() == 1s));
 }
+
+// Guards against rows that are discarded for ever after the store came back from an older copy,
+// since the versions of a new era start lower.
+BOOST_FIXTURE_TEST_CASE(rowsOfNewEraReplaceKnownOnes, Fixture)
+{
+    skipStartupPeriod();
+    store.reads[0](RowSet{{row("a", 30), row("b", 40)}, version(40), false, bootNow()});
+    store.polls.back()(failed(RowFault::HistoryGone));
+    changes.clear();
+    StoredRow returned = row("a", 9);
+    returned.version = {2, 9};
+    store.reads[1](RowSet{{returned}, {2, 12}, false, bootNow()});
+    BOOST_TEST(newEras == std::vector<uint64_t>{2}, boost::test_tools::per_element());
+    BOOST_TEST(follower->rows().size() == 1U);
+    BOOST_TEST(follower->rows().at("a").version == StoreVersion(2, 9));
+    BOOST_TEST(changes.size() == 2U);
+    BOOST_TEST(store.pollVersions.back() == StoreVersion(2, 12));
+    // A follower of this table has to read it whole, too.
+    BOOST_TEST(!follower->changesAfter(version(40)));
+    BOOST_TEST(!follower->isUnchangedSince(version(40)));
+    StoredRow changed = row("a", 14);
+    changed.version = {2, 14};
+    store.polls.back()(RowSet{{changed}, {2, 14}, false, bootNow()});
+    BOOST_TEST(follower->rows().at("a").version == StoreVersion(2, 14));
+}
+
+// A relay that has not seen the return yet must not bring back what is gone.
+BOOST_FIXTURE_TEST_CASE(tableOfEarlierEraIsRejected, Fixture)
+{
+    skipStartupPeriod();
+    StoredRow current = row("a", 9);
+    current.version = {2, 9};
+    store.reads[0](RowSet{{current}, {2, 9}, false, bootNow()});
+    store.polls.back()(failed(RowFault::HistoryGone));
+    const int before = upToDateCalls;
+    store.reads[1](RowSet{{row("a", 30)}, version(30), false, bootNow()});
+    BOOST_TEST(upToDateCalls == before);
+    BOOST_TEST(!follower->isReachable());
+    BOOST_TEST(follower->rows().at("a").version == StoreVersion(2, 9));
+    BOOST_TEST(newEras.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(tableIsReadAnewWhenEraChangesBetweenPages, Fixture)
+{
+    store.reads[0](RowSet{{row("a", 30)}, version(40), true, bootNow()});
+    StoredRow other = row("b", 9);
+    other.version = {2, 9};
+    store.reads[1](RowSet{{other}, {2, 12}, false, bootNow()});
+    BOOST_TEST(upToDateCalls == 0);
+    BOOST_REQUIRE(store.reads.size() == 3U);
+    BOOST_TEST(store.ranges[2].from.empty());
+    store.reads[2](RowSet{{other}, {2, 12}, false, bootNow()});
+    BOOST_TEST(upToDateCalls == 1);
+    BOOST_TEST(follower->rows().size() == 1U);
+}
