Confirm groups' records and the promotion duty in each era of the store

Cause: what a VM had read or written before the return was the condition of its next write and the proof of its next promotion, and that row is gone: 'could not prove in time that the duty is held and the group's record is unchanged', without end. The reverse was possible, too: a process without memory took the primary that the copy names, proven by reading the copy, although it had been replaced; the duty was held twice; and fencing tokens, being row versions, went back.

Records now state the era that they were written in. One that is carried over from an earlier era, by the copy or by a delayed write, replaces nothing that is known and proves nothing: the known primary stays in use for as long as it was proven before the return. Nobody holds the duty of an earlier era; its former holder is the first to take it again. The holder asks the members of each group: if the recorded primary leads and nobody knows a later term, it stores the record again; if they contradict, it changes the primary from what they say. Epochs and fencing tokens are ordered numbers, which rise across eras.

--- a/gentianplank/node/control/control_duty.cc
+++ b/gentianplank/node/control/control_duty.cc
@@ -28,8 +28,8 @@
 
 bool Control::State::holdsDuty() const
 {
-    return !isAbsent(dutyVersion) && duty.holder == settings.name &&
-           duty.incarnation == incarnation;
+    return !isAbsent(dutyVersion) && !isCarriedOver(duty.era, dutyVersion) &&
+           duty.holder == settings.name && duty.incarnation == incarnation;
 }
 
 std::vector<std::string> Control::State::dutyRanking() const
@@ -52,9 +52,15 @@
     const BootInstant now = bootNow();
     auto ranking = dutyRanking();
     const auto holder = vms.find(duty.holder);
-    const bool isGone = isAbsent(dutyVersion) || holder == vms.end() || holder->second.isLeaving ||
-                        holder->second.incarnation != duty.incarnation;
+    const bool isHolderListed = holder != vms.end() && !holder->second.isLeaving &&
+                                holder->second.incarnation == duty.incarnation;
+    // In a new era of the store the duty is vacant, and its former holder is the first in line.
+    const bool isFromEarlierEra = isCarriedOver(duty.era, dutyVersion);
+    const bool isGone = isAbsent(dutyVersion) || !isHolderListed || isFromEarlierEra;
     std::erase(ranking, duty.holder);
+    if (isFromEarlierEra && isHolderListed) {
+        ranking.insert(ranking.begin(), duty.holder);
+    }
     const auto place = std::find(ranking.begin(), ranking.end(), settings.name);
     const auto rank = static_cast<size_t>(place - ranking.begin());
     if (rank >= DutyCandidates && !isGone) {
@@ -89,18 +95,25 @@
 {
     isAcquiringDuty = true;
     const auto holder = vms.find(duty.holder);
-    mayPromoteImmediately = isAbsent(dutyVersion) ||
-                            (holder != vms.end() && holder->second.incarnation != duty.incarnation);
+    const bool hasHolderEnded =
+        isAbsent(dutyVersion) ||
+        (holder != vms.end() && holder->second.incarnation != duty.incarnation);
+    // The row may have come back from an older copy and hide a later holder.
+    mayPromoteImmediately = hasHolderEnded && bootNow() - newEraAt > DutyHandOverDelay;
+    // Only holders write groups' records, and the condition shows that the era had none before.
+    const bool isFirstOfEra = isAbsent(dutyVersion) || isCarriedOver(duty.era, dutyVersion);
+    const DutyRecord acquired{settings.name, incarnation, fleetFollower->version().era};
     RowTransaction transaction;
     transaction.conditions.push_back({FleetTable, PromotionDutyKey, dutyVersion});
     transaction.writes.push_back(
-        {FleetTable, PromotionDutyKey, encodeDutyRecord({settings.name, incarnation}), {}, false});
-    logEvent("duty.take", {{"from", duty.holder}, {"token", toOrderedNumber(dutyVersion)}});
+        {FleetTable, PromotionDutyKey, encodeDutyRecord(acquired), {}, false});
+    logEvent("duty.take", {{"from", duty.holder}, {"row_version", toString(dutyVersion)}});
     store.change(std::move(transaction), StoreTimeout,
-                 [this](const RowResult<StoreVersion> &result) {
+                 [this, acquired, isFirstOfEra](const RowResult<StoreVersion> &result) {
                      dutyAcquiredAt = bootNow();
-                     if (result) {
-                         duty = {settings.name, incarnation};
+                     earlierHolderWroteUntil = isFirstOfEra ? BootInstant{} : dutyAcquiredAt;
+                     if (result && *result > dutyVersion) {
+                         duty = acquired;
                          dutyVersion = *result;
                      }
                      // If the outcome is unknown, the feed shows which VM holds the duty.
--- a/gentianplank/node/control/control_groups.cc
+++ b/gentianplank/node/control/control_groups.cc
@@ -20,6 +20,9 @@
 constexpr Duration MinSuspicionInterval = std::chrono::milliseconds(200);
 // The delay before a failed change is begun again.
 constexpr Duration ChangeRetryDelay = std::chrono::milliseconds(300);
+// A primary that is too busy to answer is asked again this often before it is replaced.
+constexpr Duration RecordCheckInterval = std::chrono::milliseconds(100);
+constexpr int MaxRecordChecks = 4;
 // An unreachable old primary is told to step down repeatedly, for about as long as it may take to
 // come back.
 constexpr Duration DemoteRetryInterval = std::chrono::seconds(1);
@@ -40,13 +43,17 @@
 void Control::State::superviseGroup(const std::string &name, GroupState &group)
 {
     const BootInstant now = bootNow();
-    if (group.change || now < group.nextChangeAt || !knowsAllWrites(group)) {
+    if (group.change || group.isConfirming || now < group.nextChangeAt || !knowsAllWrites(group)) {
         return;
     }
-    if (isAbsent(group.version)) {
+    if (group.record.epoch == 0) {
         createRecord(name);
         return;
     }
+    if (!group.isConfirmed) {
+        confirmRecord(name);
+        return;
+    }
     if (group.record.phase == GroupPhase::Changing) {
         beginChange(name, group.record.isOrderly ? ChangeCause::Leaving : ChangeCause::Other,
                     "the previous change of primary is unfinished");
@@ -72,7 +79,7 @@
 
 bool Control::State::knowsAllWrites(const GroupState &group) const
 {
-    return showsAllWrites(fleetFollower->provenAt(), group.writtenAt, dutyAcquiredAt);
+    return showsAllWrites(fleetFollower->provenAt(), group.writtenAt, earlierHolderWroteUntil);
 }
 
 // The first record of a group names the member that claims to be primary.
@@ -91,13 +98,84 @@
     group.nextChangeAt = bootNow() + ChangeRetryDelay;
     GroupRecord record;
     record.group = name;
-    record.epoch = 1;
     record.primary = primary->id;
     record.primaryStartedAtMs = primary->startedAtMs;
-    record.writer = settings.name;
-    storeRecord(record, {}, [name](const RowResult<StoreVersion> &result) {
-        logEvent("group.created",
-                 {{"group", name}, {"outcome", result ? "stored" : result.error().what}});
+    storeRecord(nextRecord(record, dutyVersion.era, settings.name), {},
+                [name](const RowResult<StoreVersion> &result) {
+                    logEvent(
+                        "group.created",
+                        {{"group", name}, {"outcome", result ? "stored" : result.error().what}});
+                });
+}
+
+// Checks the record of an earlier era with the members, and stores it again unless they know of
+// another primary.
+void Control::State::confirmRecord(const std::string &name)
+{
+    GroupState &group = groups[name];
+    if (group.record.phase == GroupPhase::Changing) {
+        storeConfirmedRecord(name);
+        return;
+    }
+    std::vector<MemberEntry> probed;
+    for (const auto &[id, member] : members) {
+        if (member.entry.group == name) {
+            probed.push_back(member.entry);
+        }
+    }
+    if (probed.empty()) {
+        return;
+    }
+    group.isConfirming = true;
+    const auto check = std::make_shared<RecordCheck>();
+    check->outstanding = probed.size();
+    for (const MemberEntry &entry : probed) {
+        probeMember(ioContext, entry, [this, name, check, id = entry.id](const MemberProbe &probe) {
+            if (probe.status) {
+                check->answers.push_back({id, *probe.status});
+            }
+            if (--check->outstanding == 0) {
+                endRecordCheck(name, *check);
+            }
+        });
+    }
+}
+
+void Control::State::endRecordCheck(const std::string &name, const RecordCheck &check)
+{
+    GroupState &group = groups[name];
+    group.isConfirming = false;
+    if (group.isConfirmed || group.change || !holdsDuty()) {
+        return;
+    }
+    const RecordVerdict verdict = checkRecord(group.record, check.answers);
+    ++group.recordChecks;
+    logEvent("group.record_check", {{"group", name},
+                                    {"primary", group.record.primary},
+                                    {"answers", check.answers.size()},
+                                    {"checks", group.recordChecks},
+                                    {"verdict", toString(verdict)}});
+    if (verdict == RecordVerdict::Confirmed) {
+        storeConfirmedRecord(name);
+    } else if (verdict == RecordVerdict::Refuted || group.recordChecks >= MaxRecordChecks) {
+        beginChange(name, ChangeCause::Other,
+                    "the members don't confirm the primary of an earlier era of the store");
+    } else {
+        group.nextChangeAt = bootNow() + RecordCheckInterval;
+    }
+}
+
+void Control::State::storeConfirmedRecord(const std::string &name)
+{
+    GroupState &group = groups[name];
+    group.nextChangeAt = bootNow() + ChangeRetryDelay;
+    group.recordChecks = 0;
+    const GroupRecord record = nextRecord(group.record, dutyVersion.era, settings.name);
+    storeRecord(record, group.version, [record](const RowResult<StoreVersion> &result) {
+        logEvent("group.confirmed", {{"group", record.group},
+                                     {"epoch", record.epoch},
+                                     {"primary", record.primary},
+                                     {"outcome", result ? "stored" : result.error().what}});
     });
 }
 
@@ -122,6 +200,7 @@
                                  const std::string &reason)
 {
     GroupState &group = groups[name];
+    group.recordChecks = 0;
     group.change = std::make_shared<PrimaryChange>(
         changeEnvironment(), group.record, group.version, settings.name, [this, name](bool) {
             // The change calls this from one of its own functions, so it is destroyed after they
@@ -147,6 +226,7 @@
 PrimaryChangeEnvironment Control::State::changeEnvironment()
 {
     PrimaryChangeEnvironment environment;
+    environment.era = dutyVersion.era;
     environment.view = [this] { return view; };
     environment.schedule = [this](Duration delay, std::function<void()> task) {
         schedule(delay, std::move(task));
--- a/gentianplank/node/control/control_state.h
+++ b/gentianplank/node/control/control_state.h
@@ -7,6 +7,7 @@
 
 #include "gentianplank/node/control/deferred_task.h"
 #include "gentianplank/node/control/feed_relay.h"
+#include "gentianplank/node/control/known_group.h"
 #include "gentianplank/node/control/member_probe.h"
 #include "gentianplank/node/control/primary_change.h"
 #include "gentianplank/platform/http_row_store.h"
@@ -35,11 +36,13 @@
 inline constexpr uint64_t LivenessProbe = 1;
 
 // The supervision of one group while this VM holds the duty.
-struct GroupState
+struct GroupState : KnownGroup
 {
-    GroupRecord record;
-    StoreVersion version;
     std::shared_ptr<PrimaryChange> change;
+    // A check of a record of an earlier era of the store is under way, and how many ended without a
+    // verdict.
+    bool isConfirming = false;
+    int recordChecks = 0;
     BootInstant nextChangeAt{};
     // When the last write of the record by this VM was answered or failed.
     BootInstant writtenAt{};
@@ -58,6 +61,13 @@
     bool hasEnded = false;
 };
 
+// A check of a group's record with all members of the group.
+struct RecordCheck
+{
+    size_t outstanding = 0;
+    std::vector<MemberAnswer> answers;
+};
+
 // Owned by the control thread.
 struct Control::State : std::enable_shared_from_this<Control::State>
 {
@@ -81,7 +91,10 @@
     void applyConfiguration(const std::vector<StoredRow> &rows);
     void applyMembers(const std::vector<StoredRow> &rows);
     void applyFleetRows(const std::vector<StoredRow> &rows);
+    void applyVmRow(const StoredRow &row);
     void applyGroupRow(const StoredRow &row);
+    void applyDutyRow(const StoredRow &row);
+    void beginEra(uint64_t era);
     void publish();
     void sendToPeer(const std::string &vm, const peer::v1::Frame &frame);
 
@@ -114,6 +127,9 @@
     void superviseGroup(const std::string &name, GroupState &group);
     bool knowsAllWrites(const GroupState &group) const;
     void createRecord(const std::string &name);
+    void confirmRecord(const std::string &name);
+    void endRecordCheck(const std::string &name, const RecordCheck &check);
+    void storeConfirmedRecord(const std::string &name);
     void beginChange(const std::string &name, ChangeCause cause, const std::string &reason);
     void abandonChanges();
     PrimaryChangeEnvironment changeEnvironment();
@@ -160,6 +176,8 @@
     BootInstant startedAt{};
     // Tables whose feed has failed, and since when.
     std::map<std::string, BootInstant> storeLostAt;
+    // When this process saw the store come back from an older copy; the epoch if it has not.
+    BootInstant newEraAt{};
     // The version of this VM's own row after its last write; absent before the first.
     StoreVersion ownRowVersion;
     bool isFollowingAll = false;
@@ -172,6 +190,8 @@
     DutyRecord duty;
     StoreVersion dutyVersion;
     BootInstant dutyAcquiredAt{};
+    // Until when an earlier holder of the same era may have written; the epoch if there was none.
+    BootInstant earlierHolderWroteUntil{};
     bool isAcquiringDuty = false;
     // Set when there was no previous holder or its process is known to have ended, so that no late
     // promotion call of it can arrive.
--- a/gentianplank/node/control/control_store.cc
+++ b/gentianplank/node/control/control_store.cc
@@ -42,6 +42,11 @@
     TableFollowerListener listener;
     listener.onChanges = std::move(onChanges);
     listener.onUpToDate = std::move(onUpToDate);
+    listener.onNewEra = [this, table](uint64_t era) {
+        if (table == FleetTable) {
+            beginEra(era);
+        }
+    };
     listener.onReachable = [this, table](bool isReachable, const std::string &what) {
         logEvent(isReachable ? "store.reached" : "store.lost", {{"table", table}, {"what", what}});
         if (isReachable) {
@@ -90,6 +95,8 @@
         makeListener(
             FleetTable, [this](const std::vector<StoredRow> &rows) { applyFleetRows(rows); },
             [this](BootInstant at) {
+                // The proof is of these rows, not of those published before.
+                publication.flush();
                 proofs.fleet = at;
                 traffic->publishProofs(proofs);
                 relay.onFollowerAdvanced(FleetTable, *fleetFollower);
@@ -219,8 +226,6 @@
         }
         FleetMember member;
         member.entry = *entry;
-        const auto region = settings.regionOfZone.find(entry->zone);
-        member.place = {entry->zone, region == settings.regionOfZone.end() ? "" : region->second};
         if (entry->isLeaving) {
             const bool wasLeaving =
                 known != members.end() && known->second.leavingSince != BootInstant{};
@@ -241,45 +246,64 @@
 {
     for (const StoredRow &row : rows) {
         if (row.key.starts_with(VmKeyPrefix)) {
-            const std::string name = row.key.substr(VmKeyPrefix.size());
-            const auto record =
-                row.erased ? tl::make_unexpected(std::string("erased")) : decodeVmRecord(row.value);
-            if (record) {
-                vms[name] = *record;
-                wasRegisteredBeforeStart =
-                    wasRegisteredBeforeStart ||
-                    (name == settings.name && record->incarnation != incarnation);
-            } else {
-                vms.erase(name);
-                // Another VM erased this VM's row because it seemed gone; it gets no rate share
-                // until the row is written again.
-                if (name == settings.name) {
-                    isRegistered = false;
-                    ownRowVersion = {};
-                }
-            }
+            applyVmRow(row);
         } else if (row.key.starts_with(GroupKeyPrefix)) {
             applyGroupRow(row);
-        } else if (row.key == PromotionDutyKey && !row.erased) {
-            if (const auto record = decodeDutyRecord(row.value)) {
-                duty = *record;
-                dutyVersion = row.version;
-                holderLastSeenAt = bootNow();
-                logEvent("duty.holder",
-                         {{"vm", duty.holder}, {"token", toOrderedNumber(dutyVersion)}});
-            } else {
-                logEvent("duty.unreadable", {{"why", record.error()}});
-            }
+        } else if (row.key == PromotionDutyKey) {
+            applyDutyRow(row);
         }
     }
     publication.schedule();
 }
 
+void Control::State::applyVmRow(const StoredRow &row)
+{
+    const std::string name = row.key.substr(VmKeyPrefix.size());
+    const auto record =
+        row.erased ? tl::make_unexpected(std::string("erased")) : decodeVmRecord(row.value);
+    if (record) {
+        vms[name] = *record;
+        wasRegisteredBeforeStart = wasRegisteredBeforeStart ||
+                                   (name == settings.name && record->incarnation != incarnation);
+        return;
+    }
+    vms.erase(name);
+    // Another VM erased this VM's row because it seemed gone; it gets no rate share until the row
+    // is written again.
+    if (name == settings.name) {
+        isRegistered = false;
+        ownRowVersion = {};
+    }
+}
+
+void Control::State::applyDutyRow(const StoredRow &row)
+{
+    if (row.erased) {
+        duty = {};
+        dutyVersion = {};
+        return;
+    }
+    const auto record = decodeDutyRecord(row.value);
+    if (!record) {
+        logEvent("duty.unreadable", {{"why", record.error()}});
+        return;
+    }
+    duty = *record;
+    dutyVersion = row.version;
+    holderLastSeenAt = bootNow();
+    logEvent("duty.holder", {{"vm", duty.holder},
+                             {"token", toOrderedNumber(dutyVersion)},
+                             {"row_version", toString(dutyVersion)},
+                             {"carried_over", isCarriedOver(duty.era, dutyVersion)}});
+}
+
 void Control::State::applyGroupRow(const StoredRow &row)
 {
     const std::string name = row.key.substr(GroupKeyPrefix.size());
+    GroupState &group = groups[name];
     if (row.erased) {
-        groups.erase(name);
+        logEvent("group.record_lost", {{"group", name}, {"known_epoch", group.record.epoch}});
+        gentianplank::applyGroupRow(group, std::nullopt, row.version);
         return;
     }
     const auto record = decodeGroupRecord(row.value);
@@ -287,16 +311,32 @@
         logEvent("group.unreadable", {{"group", name}, {"why", record.error()}});
         return;
     }
-    GroupState &group = groups[name];
-    group.record = *record;
-    group.version = row.version;
+    gentianplank::applyGroupRow(group, *record, row.version);
     logEvent("group.record", {{"group", name},
                               {"epoch", record->epoch},
+                              {"known_epoch", group.record.epoch},
+                              {"confirmed", group.isConfirmed},
                               {"primary", record->primary},
                               {"changing", record->phase == GroupPhase::Changing},
+                              {"row_version", toString(row.version)},
                               {"writer", record->writer}});
 }
 
+// The store came back from an older copy. Nobody holds the duty in the new era yet, and no group's
+// record is confirmed in it.
+void Control::State::beginEra(uint64_t era)
+{
+    newEraAt = bootNow();
+    duty = {};
+    dutyVersion = {};
+    for (auto &[name, group] : groups) {
+        gentianplank::beginEra(group, proofs.fleet);
+    }
+    logEvent("fleet.new_era", {{"era", era},
+                               {"groups", groups.size()},
+                               {"proof_age_ms", toMilliseconds(newEraAt - proofs.fleet)}});
+}
+
 // The traffic thread finds peers in the view it was last given, so a pending publication goes
 // first: otherwise it would not know a VM whose row was read just now.
 void Control::State::sendToPeer(const std::string &vm, const peer::v1::Frame &frame)
@@ -314,8 +354,12 @@
         next->membersOfGroup[member.entry.group].push_back(id);
     }
     for (const auto &[name, group] : groups) {
-        if (!isAbsent(group.version)) {
-            next->groups[name] = group.record;
+        if (group.record.epoch == 0) {
+            continue;
+        }
+        next->groups[name] = group.record;
+        if (!group.isConfirmed) {
+            next->recordsProvenUntil[name] = group.provenUntil;
         }
     }
     next->vms = vmRecords();
@@ -327,8 +371,9 @@
 void Control::State::storeVmRow(bool leaving, std::function<void(bool)> done)
 {
     const std::string key = std::string(VmKeyPrefix) + settings.name;
-    const VmRecord record{settings.name, traffic->peerAddress(), settings.place, incarnation,
-                          leaving,       settings.linkMbps};
+    const VmRecord record{
+        settings.name,     traffic->peerAddress(),      settings.place, incarnation, leaving,
+        settings.linkMbps, fleetFollower->version().era};
     const auto &rows = fleetFollower->rows();
     const auto known = rows.find(key);
     const StoreVersion seen = known == rows.end() ? StoreVersion{} : known->second.version;
--- a/gentianplank/node/control/duty_writes_test.cc
+++ b/gentianplank/node/control/duty_writes_test.cc
@@ -46,7 +46,7 @@
 
 GroupRecord changing()
 {
-    return {"g", 5, GroupPhase::Changing, "p", 1, 3, false, "vm-1"};
+    return {"g", 5, GroupPhase::Changing, "p", 1, 3, false, "vm-1", 1};
 }
 
 } // namespace
--- /dev/null
+++ b/gentianplank/node/control/known_group.h
@@ -0,0 +1,62 @@
+// What a VM knows of a group's record, also across a return of the store from an older copy.
+//
+// In a new era the stored record may be older than the one known, or gone. The known one stays in
+// use for as long as it was proven in the earlier era, until the holder of the promotion duty has
+// checked it with the members and stored it again.
+#pragma once
+
+#include "gentianplank/platform/line_codec.h"
+#include "gentianplank/store/store_version.h"
+#include "gentianplank/target/group_record.h"
+
+#include <optional>
+#include <span>
+#include <string>
+
+namespace gentianplank {
+
+struct KnownGroup
+{
+    // The newest record known; epoch 0 if there is none.
+    GroupRecord record;
+    // The version of the stored row, whatever record it holds; absent if there is no row.
+    StoreVersion version;
+    // `record` was stored in the store's current era.
+    bool isConfirmed = false;
+    // For a record that isn't confirmed: until when it was proven to be current in the era that it
+    // was confirmed in.
+    BootInstant provenUntil{};
+};
+
+// Applies a row of the store; `stored` is empty if the row is gone.
+void applyGroupRow(KnownGroup &group, const std::optional<GroupRecord> &stored,
+                   const StoreVersion &version);
+
+// Marks the record as not confirmed since the store is in a new era. `provenAt` is the last proof
+// of the earlier era.
+void beginEra(KnownGroup &group, BootInstant provenAt);
+
+// Returns the record as `writer` stores it next, in `era`, with an epoch above all earlier ones.
+GroupRecord nextRecord(const GroupRecord &record, uint64_t era, const std::string &writer);
+
+// The answer of a member of the group.
+struct MemberAnswer
+{
+    std::string member;
+    platform::MemberStatus status;
+};
+
+// What the members' answers say about a record.
+enum class RecordVerdict {
+    // Its primary leads, and no member knows of a later term.
+    Confirmed,
+    // Its primary doesn't lead, or a member knows of a later term.
+    Refuted,
+    // Its primary didn't answer, and nothing speaks against it.
+    Unknown,
+};
+
+RecordVerdict checkRecord(const GroupRecord &record, std::span<const MemberAnswer> answers);
+const char *toString(RecordVerdict verdict);
+
+} // namespace gentianplank
--- a/gentianplank/node/control/primary_change.cc
+++ b/gentianplank/node/control/primary_change.cc
@@ -1,6 +1,7 @@
 #include "gentianplank/node/control/primary_change.h"
 
 #include "gentianplank/base/event_log.h"
+#include "gentianplank/node/control/known_group.h"
 
 #include <algorithm>
 
@@ -82,10 +83,8 @@
 
 void PrimaryChange::State::storeChanging()
 {
-    GroupRecord changing = record;
-    changing.epoch = record.epoch + 1;
+    GroupRecord changing = nextRecord(record, environment.era, ownName);
     changing.phase = GroupPhase::Changing;
-    changing.writer = ownName;
     environment.store(changing, version, [weak = self, changing](RowResult<StoreVersion> result) {
         auto owner = weak.lock();
         if (!owner) {
@@ -298,14 +297,12 @@
 
 void PrimaryChange::State::storeServing(const MemberEntry &member, uint64_t term)
 {
-    GroupRecord serving = record;
-    serving.epoch = record.epoch + 1;
+    GroupRecord serving = nextRecord(record, environment.era, ownName);
     serving.phase = GroupPhase::Serving;
     serving.primary = member.id;
     serving.primaryStartedAtMs = member.startedAtMs;
     serving.term = term;
     serving.isOrderly = false;
-    serving.writer = ownName;
     environment.store(serving, version,
                       [weak = self, serving, old = record.primary](RowResult<StoreVersion> result) {
                           auto owner = weak.lock();
--- a/gentianplank/node/control/primary_change.h
+++ b/gentianplank/node/control/primary_change.h
@@ -26,6 +26,8 @@
 // What a change needs of the control thread.
 struct PrimaryChangeEnvironment
 {
+    // The store's era in which the duty is held.
+    uint64_t era = 0;
     std::function<std::shared_ptr<const FleetView>()> view;
     std::function<void(Duration delay, std::function<void()> task)> schedule;
     std::function<void(const MemberEntry &, std::function<void(MemberProbe)>)> probe;
--- a/gentianplank/node/restored_store_test.cc
+++ b/gentianplank/node/restored_store_test.cc
@@ -143,3 +143,25 @@
     BOOST_TEST(std::is_sorted(tokens.begin(), tokens.end()));
     BOOST_TEST(tokens.front() < tokens.back());
 }
+
+// A process without memory took the primary that the copy names, although it had been replaced.
+BOOST_FIXTURE_TEST_CASE(restartedVmsDoNotTrustPrimaryOfCopy, RestoredFixture)
+{
+    const HttpTableStore::Copy copy = store.copy();
+    writeUnrelatedRows(20);
+    first = nullptr;
+    second = nullptr;
+    group.promote(1);
+    store.restore(copy);
+    BOOST_TEST(storedPrimary() == "g-0");
+    const size_t before = group.runs().size();
+    first = std::make_unique<Vm>("vm-1", "a", store);
+    second = std::make_unique<Vm>("vm-2", "b", store);
+    BOOST_TEST(isWriteServed(*first, "a", 6s));
+    BOOST_TEST(storedPrimary() == "g-1");
+    const auto runs = group.runs();
+    for (size_t i = before; i < runs.size(); ++i) {
+        BOOST_TEST(runs[i].member == 1U);
+    }
+    BOOST_TEST(store.fencingTokens().empty());
+}
--- a/gentianplank/node/traffic/fleet_view.h
+++ b/gentianplank/node/traffic/fleet_view.h
@@ -32,6 +32,9 @@
     // Member ids by group.
     std::map<std::string, std::vector<std::string>, std::less<>> membersOfGroup;
     std::map<std::string, GroupRecord, std::less<>> groups;
+    // For records that were not confirmed since the store came back from an older copy: until when
+    // they were proven to be current before.
+    std::map<std::string, BootInstant, std::less<>> recordsProvenUntil;
     std::vector<VmRecord> vms;
     // The fleet listed this VM before its current process started, so its rate shares are free to
     // use at once.
--- a/gentianplank/node/traffic/traffic.cc
+++ b/gentianplank/node/traffic/traffic.cc
@@ -223,6 +223,10 @@
 PrimaryLease Traffic::State::primaryLeaseOf(const GroupRecord &record) const
 {
     PrimaryLease lease{record, proofs.fleet};
+    const auto until = view->recordsProvenUntil.find(record.group);
+    if (until != view->recordsProvenUntil.end()) {
+        lease.provenAt = std::min(lease.provenAt, until->second);
+    }
     const auto it = peerProofs.find(record.group);
     if (it != peerProofs.end() && it->second.first == record.epoch) {
         lease.provenAt = std::max(lease.provenAt, it->second.second);
--- a/gentianplank/target/group_record.cc
+++ b/gentianplank/target/group_record.cc
@@ -6,15 +6,18 @@
 
 std::string encodeGroupRecord(const GroupRecord &record)
 {
-    return nlohmann::json{{"group", record.group},
-                          {"epoch", record.epoch},
-                          {"changing", record.phase == GroupPhase::Changing},
-                          {"primary", record.primary},
-                          {"primary_born_at", record.primaryStartedAtMs},
-                          {"term", record.term},
-                          {"orderly", record.isOrderly},
-                          {"writer", record.writer}}
-        .dump();
+    nlohmann::json json{{"group", record.group},
+                        {"epoch", record.epoch},
+                        {"changing", record.phase == GroupPhase::Changing},
+                        {"primary", record.primary},
+                        {"primary_born_at", record.primaryStartedAtMs},
+                        {"term", record.term},
+                        {"orderly", record.isOrderly},
+                        {"writer", record.writer}};
+    if (record.era) {
+        json["era"] = *record.era;
+    }
+    return json.dump();
 }
 
 tl::expected<GroupRecord, std::string> decodeGroupRecord(std::string_view text)
@@ -30,6 +33,9 @@
         record.term = json.at("term").get<uint64_t>();
         record.isOrderly = json.at("orderly").get<bool>();
         record.writer = json.at("writer").get<std::string>();
+        if (json.contains("era")) {
+            record.era = json.at("era").get<uint64_t>();
+        }
         return record;
     } catch (const nlohmann::json::exception &error) {
         return tl::make_unexpected(std::string(error.what()));
--- a/gentianplank/target/group_record.h
+++ b/gentianplank/target/group_record.h
@@ -11,6 +11,7 @@
 #include <tl/expected.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -30,7 +31,7 @@
 struct GroupRecord
 {
     std::string group;
-    // Incremented with every write of the record.
+    // Higher with every write of the record, also across eras of the store.
     uint64_t epoch = 0;
     GroupPhase phase = GroupPhase::Serving;
     // The member that is primary; in the Changing phase the former primary.
@@ -43,6 +44,9 @@
     bool isOrderly = false;
     // The VM that wrote the record.
     std::string writer;
+    // The store's era that the record was written in; empty in records of processes that don't know
+    // eras.
+    std::optional<uint64_t> era = std::nullopt;
 
     bool operator==(const GroupRecord &) const = default;
 };
--- a/gentianplank/vm/fleet_records.cc
+++ b/gentianplank/vm/fleet_records.cc
@@ -25,18 +25,32 @@
     }
 }
 
+void encodeEra(const std::optional<uint64_t> &era, nlohmann::json &json)
+{
+    if (era) {
+        json["era"] = *era;
+    }
+}
+
+std::optional<uint64_t> decodeEra(const nlohmann::json &json)
+{
+    return json.contains("era") ? std::optional<uint64_t>(json.at("era").get<uint64_t>())
+                                : std::nullopt;
+}
+
 } // namespace
 
 std::string encodeVmRecord(const VmRecord &record)
 {
-    return nlohmann::json{{"name", record.name},
-                          {"peer_address", record.peerAddress},
-                          {"zone", record.place.zone},
-                          {"region", record.place.region},
-                          {"incarnation", record.incarnation},
-                          {"leaving", record.isLeaving},
-                          {"link_mbps", record.linkMbps}}
-        .dump();
+    nlohmann::json json{{"name", record.name},
+                        {"peer_address", record.peerAddress},
+                        {"zone", record.place.zone},
+                        {"region", record.place.region},
+                        {"incarnation", record.incarnation},
+                        {"leaving", record.isLeaving},
+                        {"link_mbps", record.linkMbps}};
+    encodeEra(record.era, json);
+    return json.dump();
 }
 
 tl::expected<VmRecord, std::string> decodeVmRecord(std::string_view text)
@@ -49,12 +63,15 @@
         record.incarnation = json.at("incarnation").get<uint64_t>();
         record.isLeaving = json.at("leaving").get<bool>();
         record.linkMbps = json.value("link_mbps", 0U);
+        record.era = decodeEra(json);
     });
 }
 
 std::string encodeDutyRecord(const DutyRecord &record)
 {
-    return nlohmann::json{{"holder", record.holder}, {"incarnation", record.incarnation}}.dump();
+    nlohmann::json json{{"holder", record.holder}, {"incarnation", record.incarnation}};
+    encodeEra(record.era, json);
+    return json.dump();
 }
 
 tl::expected<DutyRecord, std::string> decodeDutyRecord(std::string_view text)
@@ -62,6 +79,7 @@
     return decode<DutyRecord>(text, [](const nlohmann::json &json, DutyRecord &record) {
         record.holder = json.at("holder").get<std::string>();
         record.incarnation = json.at("incarnation").get<uint64_t>();
+        record.era = decodeEra(json);
     });
 }
 
--- a/gentianplank/vm/fleet_records.h
+++ b/gentianplank/vm/fleet_records.h
@@ -7,6 +7,7 @@
 #include <tl/expected.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -34,6 +35,9 @@
     // The bandwidth of the VM's link in Mbit/s; 0 if unknown, as in rows of processes that did not
     // report it.
     uint32_t linkMbps = 0;
+    // The store's era that the record was written in; empty in records of processes that don't know
+    // eras.
+    std::optional<uint64_t> era = std::nullopt;
 
     bool operator==(const VmRecord &) const = default;
 };
@@ -43,12 +47,14 @@
 std::string encodeVmRecord(const VmRecord &record);
 tl::expected<VmRecord, std::string> decodeVmRecord(std::string_view json);
 
-// The VM that may promote members. The fencing token is the version of the row that holds this
-// record.
+// The VM that may promote members, while the store is in the era that the record was written in.
+// The fencing token is the version of the row that holds this record, as an ordered number.
 struct DutyRecord
 {
     std::string holder;
     uint64_t incarnation = 0;
+    // As VmRecord::era.
+    std::optional<uint64_t> era = std::nullopt;
 };
 
 // Converts to and from JSON, like the functions for VmRecord.
