Don't take a copy's older configuration for proof

What callers would see: a withdrawn key is let in by a VM that knows better, or a VM goes on serving for as long as the store lives, although newer configurations may be lost.

Cause: a configuration older than the one in force was not used, but reading it renewed the proof that the one in force is current. In a store that came back from a copy and that the operator has not written to again, nothing proves that.

The proof is no longer renewed while the stored revision is lower than the one in force, or while there is none. The last proof of the earlier era holds for its lifetime; then statements are refused as not run, until the operator has written the configuration again.

Shown: olderConfigurationOfCopyIsNeitherUsedNorProven failed before (still served 5.5 s after the return) and passes.

--- a/gentianplank/node/control/control_state.h
+++ b/gentianplank/node/control/control_state.h
@@ -178,6 +178,8 @@
     std::map<std::string, BootInstant> storeLostAt;
     // When this process saw the store come back from an older copy; the epoch if it has not.
     BootInstant newEraAt{};
+    // The stored configuration is older than the one in force, so reading it proves nothing.
+    bool isConfigurationBehind = false;
     // The version of this VM's own row after its last write; absent before the first.
     StoreVersion ownRowVersion;
     bool isFollowingAll = false;
--- a/gentianplank/node/control/control_store.cc
+++ b/gentianplank/node/control/control_store.cc
@@ -72,8 +72,10 @@
             platform::OperatorTable,
             [this](const std::vector<StoredRow> &rows) { applyConfiguration(rows); },
             [this](BootInstant at) {
-                proofs.configuration = at;
-                traffic->publishProofs(proofs);
+                if (!isConfigurationBehind) {
+                    proofs.configuration = at;
+                    traffic->publishProofs(proofs);
+                }
                 relay.onFollowerAdvanced(platform::OperatorTable, *configurationFollower);
             }));
     followSettings.wait = times.memberFeedWait;
@@ -179,7 +181,12 @@
 void Control::State::applyConfiguration(const std::vector<StoredRow> &rows)
 {
     for (const StoredRow &row : rows) {
-        if (row.key != platform::ConfigurationKey || row.erased) {
+        if (row.key != platform::ConfigurationKey) {
+            continue;
+        }
+        if (row.erased) {
+            isConfigurationBehind = routing != nullptr;
+            logEvent("configuration.missing", {{"row_version", toString(row.version)}});
             continue;
         }
         auto decoded = platform::decodeConfiguration(row.value);
@@ -188,13 +195,18 @@
                      {{"row_version", toString(row.version)}, {"why", decoded.error()}});
             continue;
         }
-        if (routing && decoded->revision < routing->revision) {
-            logEvent("configuration.older",
-                     {{"revision", decoded->revision}, {"in_force", routing->revision}});
+        // Revisions only increase, so the store came back from an older copy, and the operator has
+        // not written the configuration again yet.
+        isConfigurationBehind = routing && decoded->revision < routing->revision;
+        if (isConfigurationBehind) {
+            logEvent("configuration.older", {{"revision", decoded->revision},
+                                             {"in_force", routing->revision},
+                                             {"row_version", toString(row.version)}});
             continue;
         }
         routing = std::make_shared<const Routing>(std::move(*decoded));
         logEvent("configuration.in_force", {{"revision", routing->revision},
+                                            {"row_version", toString(row.version)},
                                             {"routes", routing->routes.size()},
                                             {"organisations", routing->organisations.size()}});
         publish();
--- a/gentianplank/node/restored_store_test.cc
+++ b/gentianplank/node/restored_store_test.cc
@@ -165,3 +165,29 @@
     }
     BOOST_TEST(store.fencingTokens().empty());
 }
+
+// A withdrawn key was in the copy. Reading the copy proves nothing while it is older than what is
+// in force.
+BOOST_FIXTURE_TEST_CASE(olderConfigurationOfCopyIsNeitherUsedNorProven, RestoredFixture)
+{
+    const HttpTableStore::Copy copy = store.copy();
+    writeUnrelatedRows(20);
+    store.put("op", "config", configuration(2, R"("k1")"));
+    BOOST_TEST(isKeyRefusedSoon(*first, "k2"));
+    BOOST_TEST(isKeyRefusedSoon(*second, "k2"));
+    store.restore(copy);
+    const auto end = std::chrono::steady_clock::now() + 5500ms;
+    while (std::chrono::steady_clock::now() < end) {
+        for (const auto *vm : {first.get(), second.get()}) {
+            const std::string answer = Caller(vm->callerAddress()).firstLine("START ledger k2");
+            BOOST_TEST(answer.starts_with("ERROR"));
+        }
+        std::this_thread::sleep_for(100ms);
+    }
+    BOOST_TEST(
+        Caller(first->callerAddress()).firstLine("START ledger k1").starts_with("ERROR BUSY"));
+    store.put("op", "config", configuration(2, R"("k1")"));
+    BOOST_TEST(isKeyAcceptedSoon(*first, "k1"));
+    BOOST_TEST(isKeyAcceptedSoon(*second, "k1"));
+    BOOST_TEST(isKeyRefusedSoon(*first, "k2"));
+}
