Keep a leaving member leaving when the store returns from a copy

What callers would see: new statements go to a member that is about to stop, since the copy was made before it said so (DRAIN, and statements cut off at its end).

Cause: the member's entry of the copy, ready, replaced the known one, draining, until the member reports again. A process that leaves doesn't come back.

While the rows of a new era are read for the first time, a known member that leaves stays leaving if the entry is of the same process. Later entries are the member's own word.

Shown: leavingMemberGetsNoNewStatementsAfterReturn failed before (the replica that reads went to was used again) and passes.

--- a/gentianplank/node/control/control_state.h
+++ b/gentianplank/node/control/control_state.h
@@ -20,6 +20,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <map>
+#include <set>
 #include <thread>
 
 namespace gentianplank {
@@ -178,6 +179,8 @@
     std::map<std::string, BootInstant> storeLostAt;
     // When this process saw the store come back from an older copy; the epoch if it has not.
     BootInstant newEraAt{};
+    // The tables whose first rows of a new era are being applied.
+    std::set<std::string> tablesInNewEra;
     // The stored configuration is older than the one in force, so reading it proves nothing.
     bool isConfigurationBehind = false;
     // The version of this VM's own row after its last write; absent before the first.
--- a/gentianplank/node/control/control_store.cc
+++ b/gentianplank/node/control/control_store.cc
@@ -41,8 +41,12 @@
 {
     TableFollowerListener listener;
     listener.onChanges = std::move(onChanges);
-    listener.onUpToDate = std::move(onUpToDate);
+    listener.onUpToDate = [this, table, onUpToDate = std::move(onUpToDate)](BootInstant at) {
+        tablesInNewEra.erase(table);
+        onUpToDate(at);
+    };
     listener.onNewEra = [this, table](uint64_t era) {
+        tablesInNewEra.insert(table);
         if (table == FleetTable) {
             beginEra(era);
         }
@@ -238,7 +242,14 @@
         }
         FleetMember member;
         member.entry = *entry;
-        if (entry->isLeaving) {
+        // A process that leaves doesn't come back: the copy was made before it said so.
+        member.entry.isLeaving =
+            member.entry.isLeaving || (tablesInNewEra.count(platform::MemberTable) != 0 &&
+                                       known != members.end() && known->second.entry.isLeaving &&
+                                       known->second.entry.startedAtMs == entry->startedAtMs);
+        const auto region = settings.regionOfZone.find(entry->zone);
+        member.place = {entry->zone, region == settings.regionOfZone.end() ? "" : region->second};
+        if (member.entry.isLeaving) {
             const bool wasLeaving =
                 known != members.end() && known->second.leavingSince != BootInstant{};
             member.leavingSince = wasLeaving ? known->second.leavingSince : now;
@@ -247,7 +258,7 @@
         logEvent("member.known", {{"member", entry->id},
                                   {"group", entry->group},
                                   {"zone", entry->zone},
-                                  {"leaving", entry->isLeaving},
+                                  {"leaving", member.entry.isLeaving},
                                   {"primary", entry->claimsPrimary},
                                   {"row_version", toString(row.version)}});
     }
--- a/gentianplank/node/restored_store_test.cc
+++ b/gentianplank/node/restored_store_test.cc
@@ -2,6 +2,8 @@
 // their versions are assigned again.
 #include "gentianplank/node/testing/entry_fixture.h"
 
+#include <set>
+
 using namespace gentianplank;
 using namespace std::chrono_literals;
 
@@ -191,3 +193,38 @@
     BOOST_TEST(isKeyAcceptedSoon(*second, "k1"));
     BOOST_TEST(isKeyRefusedSoon(*first, "k2"));
 }
+
+// A member that was leaving is ready again in the copy.
+BOOST_FIXTURE_TEST_CASE(leavingMemberGetsNoNewStatementsAfterReturn, RestoredFixture)
+{
+    // Returns the members that execute a few reads.
+    const auto readingMembers = [this] {
+        const size_t before = group.runs().size();
+        Caller caller(first->callerAddress());
+        caller.firstLine("START ledger k1");
+        for (int i = 0; i < 30; ++i) {
+            caller.firstLine("QUERY q" + std::to_string(i) + " READ warm");
+        }
+        std::set<size_t> result;
+        const auto runs = group.runs();
+        for (size_t i = before; i < runs.size(); ++i) {
+            result.insert(runs[i].member);
+        }
+        return result;
+    };
+    const std::set<size_t> used = readingMembers();
+    BOOST_REQUIRE(!used.empty());
+    const size_t replica = *used.rbegin();
+    BOOST_REQUIRE(replica != 0U);
+    const HttpTableStore::Copy copy = store.copy();
+    writeUnrelatedRows(20);
+    std::string document = group.discoveryDocument(replica);
+    document.replace(document.find("\"ready\""), 7, "\"draining\"");
+    store.put("servers", "g-" + std::to_string(replica), document);
+    std::this_thread::sleep_for(500ms);
+    BOOST_TEST(readingMembers().count(replica) == 0U);
+    store.restore(copy);
+    std::this_thread::sleep_for(500ms);
+    BOOST_TEST(readingMembers().count(replica) == 0U);
+    BOOST_TEST(!readingMembers().empty());
+}
