Write a VM's lost row again when the store returns from a copy

What callers would see: peers close their links to a running process, whose statements then have an unknown outcome, since the copy names its predecessor; a VM that was added since the copy loses its rate shares; a stopped VM is dispatched to again.

Cause: the row of the copy replaced what was known of a VM, and a VM only wrote its row again if the row was erased.

A row carried over from an earlier era replaces nothing that is known of the VM. VMs whose rows are missing in a new era stay known for 4 s, in which a whole fleet can write them again at the store's 200 writes a second to one part. Each VM compares the stored row with its own process and state and writes it again if they differ, also while it leaves.

Shown: vmsWriteTheirLostRowsAgain failed before (the row stayed that of the predecessor) and passes.

--- a/gentianplank/node/control/control.cc
+++ b/gentianplank/node/control/control.cc
@@ -34,6 +34,7 @@
         logEvent("member.gone", {{"member", id}});
         publication.schedule();
     }
+    dropLostVms();
     if (!isRegistered && fleetFollower->provenAt() != BootInstant{}) {
         registerVm();
     }
@@ -178,9 +179,8 @@
 {
     asio::post(m_state->ioContext, [state = m_state] {
         state->isHandedOver = true;
-        state->storeVmRow(true, [](bool stored) {
-            logEvent("vm.leaving_stored", {{"stored", stored}});
-        });
+        state->isRegistered = false;
+        state->registerVm();
     });
 }
 
--- a/gentianplank/node/control/control_state.h
+++ b/gentianplank/node/control/control_state.h
@@ -96,6 +96,7 @@
     void applyGroupRow(const StoredRow &row);
     void applyDutyRow(const StoredRow &row);
     void beginEra(uint64_t era);
+    void dropLostVms();
     void publish();
     void sendToPeer(const std::string &vm, const peer::v1::Frame &frame);
 
@@ -107,6 +108,7 @@
     const TableFollower *followerOf(const std::string &table) const;
 
     // This VM's own row.
+    bool isOwnRowStored() const;
     void registerVm();
     void storeVmRow(bool isLeaving, std::function<void(bool)> done);
 
@@ -167,6 +169,8 @@
     // Known members whose entries are missing from the store, and since when.
     std::map<std::string, BootInstant> missingSince;
     std::map<std::string, VmRecord> vms;
+    // Known VMs whose rows were lost when the store came back from an older copy, and since when.
+    std::map<std::string, BootInstant> lostVms;
     std::map<std::string, GroupState> groups;
     std::shared_ptr<const FleetView> view = std::make_shared<FleetView>();
     DeferredTask publication{
--- a/gentianplank/node/control/control_store.cc
+++ b/gentianplank/node/control/control_store.cc
@@ -21,6 +21,8 @@
 // The delay before followers are told that this VM has lost the store; it has tried another source
 // by then.
 constexpr Duration StoreLossNotificationDelay = std::chrono::milliseconds(300);
+// Time for a whole fleet to write its lost rows again at the store's rate for one part of a table.
+constexpr Duration LostVmGrace = std::chrono::seconds(4);
 
 } // namespace
 
@@ -276,6 +278,12 @@
             applyDutyRow(row);
         }
     }
+    // The rows include this VM's last write.
+    const bool isCaughtUp = fleetFollower->version() >= ownRowVersion;
+    if (isRegistered && isCaughtUp && !isOwnRowStored()) {
+        isRegistered = false;
+        ownRowVersion = {};
+    }
     publication.schedule();
 }
 
@@ -284,21 +292,37 @@
     const std::string name = row.key.substr(VmKeyPrefix.size());
     const auto record =
         row.erased ? tl::make_unexpected(std::string("erased")) : decodeVmRecord(row.value);
+    const bool isKnown = vms.count(name) != 0;
     if (record) {
-        vms[name] = *record;
+        lostVms.erase(name);
         wasRegisteredBeforeStart = wasRegisteredBeforeStart ||
                                    (name == settings.name && record->incarnation != incarnation);
-        return;
-    }
-    vms.erase(name);
-    // Another VM erased this VM's row because it seemed gone; it gets no rate share until the row
-    // is written again.
-    if (name == settings.name) {
-        isRegistered = false;
-        ownRowVersion = {};
+        // What is known is newer than what came back with the copy.
+        if (!isKnown || !isCarriedOver(record->era, row.version)) {
+            vms[name] = *record;
+        }
+    } else if (isKnown && tablesInNewEra.count(FleetTable) != 0) {
+        lostVms.emplace(name, bootNow());
+    } else {
+        vms.erase(name);
     }
 }
 
+// Removes the VMs that have not written their lost rows again.
+void Control::State::dropLostVms()
+{
+    const BootInstant now = bootNow();
+    std::erase_if(lostVms, [&](const auto &it) {
+        if (now - it.second < LostVmGrace) {
+            return false;
+        }
+        logEvent("vm.lost", {{"vm", it.first}});
+        vms.erase(it.first);
+        publication.schedule();
+        return true;
+    });
+}
+
 void Control::State::applyDutyRow(const StoredRow &row)
 {
     if (row.erased) {
@@ -414,26 +438,43 @@
                  });
 }
 
+// Whether the store holds this process's row as it should be. Another VM may have erased it because
+// this one seemed gone, or the store may have come back from an older copy.
+bool Control::State::isOwnRowStored() const
+{
+    const auto &rows = fleetFollower->rows();
+    const auto row = rows.find(std::string(VmKeyPrefix) + settings.name);
+    if (row == rows.end()) {
+        return false;
+    }
+    const auto record = decodeVmRecord(row->second.value);
+    return record && record->incarnation == incarnation && record->isLeaving == isHandedOver;
+}
+
 void Control::State::registerVm()
 {
-    const auto own = vms.find(settings.name);
-    if (own != vms.end() && own->second.incarnation == incarnation) {
+    if (isOwnRowStored()) {
         isRegistered = true;
         logEvent("vm.registered", {{"vm", settings.name}, {"incarnation", incarnation}});
         return;
     }
-    if (isRegistering || isLeaving) {
+    if (isRegistering || (isLeaving && !isHandedOver)) {
         return;
     }
     isRegistering = true;
     // If the outcome is unknown, the feed shows the row, or it is written again.
-    storeVmRow(false, [this](bool stored) {
-        if (stored) {
-            isRegistering = false;
-            registerVm();
+    storeVmRow(isHandedOver, [this, leaving = isHandedOver](bool stored) {
+        if (leaving) {
+            logEvent("vm.leaving_stored", {{"stored", stored}});
+        }
+        if (!stored) {
+            schedule(StoreRetryDelay, [this] { isRegistering = false; });
             return;
         }
-        schedule(StoreRetryDelay, [this] { isRegistering = false; });
+        isRegistering = false;
+        // The VM may have handed over while its row was written.
+        isRegistered = leaving == isHandedOver;
+        logEvent("vm.registered", {{"vm", settings.name}, {"incarnation", incarnation}});
     });
 }
 
--- a/gentianplank/node/restored_store_test.cc
+++ b/gentianplank/node/restored_store_test.cc
@@ -228,3 +228,29 @@
     BOOST_TEST(readingMembers().count(replica) == 0U);
     BOOST_TEST(!readingMembers().empty());
 }
+
+// The rows that VMs had written since the copy were gone, or were those of their earlier processes.
+BOOST_FIXTURE_TEST_CASE(vmsWriteTheirLostRowsAgain, RestoredFixture)
+{
+    const auto row = [this](const std::string &name) {
+        const auto stored = store.get(FleetTable, "vm/" + name);
+        return stored ? decodeVmRecord(stored->first).value_or(VmRecord{}) : VmRecord{};
+    };
+    store.setFault(HttpTableStore::Fault::Busy);
+    store.erase(FleetTable, "vm/vm-2");
+    const HttpTableStore::Copy copy = store.copy();
+    store.setFault(HttpTableStore::Fault::None);
+    first = nullptr;
+    first = std::make_unique<Vm>("vm-1", "a", store);
+    awaitService(first->callerAddress());
+    std::this_thread::sleep_for(1s);
+    const uint64_t firstIncarnation = row("vm-1").incarnation;
+    const uint64_t secondIncarnation = row("vm-2").incarnation;
+    BOOST_TEST(secondIncarnation != 0U);
+    store.restore(copy);
+    BOOST_TEST(row("vm-1").incarnation != firstIncarnation);
+    BOOST_TEST(row("vm-2").incarnation == 0U);
+    std::this_thread::sleep_for(1500ms);
+    BOOST_TEST(row("vm-1").incarnation == firstIncarnation);
+    BOOST_TEST(row("vm-2").incarnation == secondIncarnation);
+}
