Wait for promotions of an earlier era before confirming a primary

Cause: a promotion that was sent just before the store was lost takes effect up to two seconds later. Until then the members name the old primary. If the record of the change is lost with the store's last seconds, a holder that had not read it confirmed the old primary.

A holder whose lease was valid at the return knows of every change that had got as far as its promotion, since a change waits for the leases of VMs that don't answer it. Any other holder now waits 2 s from its first read in the era before it asks the members. If a change was announced to it whose record is lost, it makes the change again.

Shown: restartedVmsWaitForPromotionOfEarlierEra fails without the wait and passes; decisions in node_control_known_group_test.

--- a/gentianplank/node/control/control.cc
+++ b/gentianplank/node/control/control.cc
@@ -4,6 +4,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
+
 namespace gentianplank {
 
 namespace asio = boost::asio;
@@ -86,6 +88,8 @@
                     });
     } else if (frame.has_epoch_notice()) {
         const auto &notice = frame.epoch_notice();
+        uint64_t &announced = groups[notice.group()].announcedEpoch;
+        announced = std::max(announced, notice.epoch());
         peer::v1::Frame answer;
         answer.mutable_epoch_released()->set_group(notice.group());
         answer.mutable_epoch_released()->set_epoch(notice.epoch());
--- a/gentianplank/node/control/control_groups.cc
+++ b/gentianplank/node/control/control_groups.cc
@@ -117,6 +117,16 @@
         storeConfirmedRecord(name);
         return;
     }
+    switch (confirmationOf(group, eraSeenAt, bootNow())) {
+    case Confirmation::Check:
+        break;
+    case Confirmation::CheckLater:
+        return;
+    case Confirmation::Change:
+        beginChange(name, ChangeCause::Other,
+                    "a change was announced in an earlier era of the store");
+        return;
+    }
     std::vector<MemberEntry> probed;
     for (const auto &[id, member] : members) {
         if (member.entry.group == name) {
--- a/gentianplank/node/control/control_state.h
+++ b/gentianplank/node/control/control_state.h
@@ -181,6 +181,8 @@
     BootInstant startedAt{};
     // Tables whose feed has failed, and since when.
     std::map<std::string, BootInstant> storeLostAt;
+    // When this VM first read from the store in its current era.
+    BootInstant eraSeenAt{};
     // When this process saw the store come back from an older copy; the epoch if it has not.
     BootInstant newEraAt{};
     // The tables whose first rows of a new era are being applied.
--- a/gentianplank/node/control/control_store.cc
+++ b/gentianplank/node/control/control_store.cc
@@ -106,6 +106,9 @@
                 // The proof is of these rows, not of those published before.
                 publication.flush();
                 proofs.fleet = at;
+                if (eraSeenAt == BootInstant{}) {
+                    eraSeenAt = bootNow();
+                }
                 traffic->publishProofs(proofs);
                 relay.onFollowerAdvanced(FleetTable, *fleetFollower);
                 if (!isRegistered) {
@@ -374,6 +377,7 @@
 void Control::State::beginEra(uint64_t era)
 {
     newEraAt = bootNow();
+    eraSeenAt = newEraAt;
     duty = {};
     dutyVersion = {};
     for (auto &[name, group] : groups) {
--- a/gentianplank/node/control/known_group.cc
+++ b/gentianplank/node/control/known_group.cc
@@ -4,6 +4,14 @@
 
 namespace gentianplank {
 
+namespace {
+
+// A promotion that was sent before the return is answered or reset within 0.9 s, and takes effect
+// within another second.
+constexpr Duration PromotionSettleTime = std::chrono::milliseconds(2000);
+
+} // namespace
+
 void applyGroupRow(KnownGroup &group, const std::optional<GroupRecord> &stored,
                    const StoreVersion &version)
 {
@@ -32,6 +40,19 @@
     }
 }
 
+// A change announces itself to every VM before its promotion, and waits for the leases of those
+// that don't answer. A VM whose lease was valid at the return therefore knows of every change that
+// had got as far as the promotion.
+Confirmation confirmationOf(const KnownGroup &group, BootInstant eraSeenAt, BootInstant now)
+{
+    if (group.announcedEpoch > group.record.epoch) {
+        return Confirmation::Change;
+    }
+    const bool wasLeaseValid = eraSeenAt - group.provenUntil < PrimaryLeaseDuration;
+    const bool isSettled = now - eraSeenAt >= PromotionSettleTime;
+    return wasLeaseValid || isSettled ? Confirmation::Check : Confirmation::CheckLater;
+}
+
 GroupRecord nextRecord(const GroupRecord &record, uint64_t era, const std::string &writer)
 {
     GroupRecord next = record;
--- a/gentianplank/node/control/known_group.h
+++ b/gentianplank/node/control/known_group.h
@@ -26,6 +26,8 @@
     // For a record that isn't confirmed: until when it was proven to be current in the era that it
     // was confirmed in.
     BootInstant provenUntil{};
+    // The highest epoch of a change that was announced to this VM.
+    uint64_t announcedEpoch = 0;
 };
 
 // Applies a row of the store; `stored` is empty if the row is gone.
@@ -36,6 +38,20 @@
 // of the earlier era.
 void beginEra(KnownGroup &group, BootInstant provenAt);
 
+// How an unconfirmed record may be confirmed.
+enum class Confirmation {
+    // By asking the members.
+    Check,
+    // The record may miss a change whose promotion hasn't taken effect yet, so that the members
+    // don't know of it either: only after such a promotion would have.
+    CheckLater,
+    // A change was announced whose outcome is lost: only by a change.
+    Change,
+};
+
+// `eraSeenAt` is when this VM first read from the store in its current era.
+Confirmation confirmationOf(const KnownGroup &group, BootInstant eraSeenAt, BootInstant now);
+
 // Returns the record as `writer` stores it next, in `era`, with an epoch above all earlier ones.
 GroupRecord nextRecord(const GroupRecord &record, uint64_t era, const std::string &writer);
 
--- a/gentianplank/node/control/known_group_test.cc
+++ b/gentianplank/node/control/known_group_test.cc
@@ -105,6 +105,39 @@
     BOOST_TEST(group.version == StoreVersion(2, 11));
 }
 
+// Guards against confirming a primary while its replacement, promoted before the return, is about
+// to take over: the members don't know of it yet, and the record of the change is lost.
+BOOST_AUTO_TEST_CASE(recordIsCheckedLaterIfItMayMissAPromotion)
+{
+    const BootInstant eraSeenAt = bootNow();
+    KnownGroup known;
+    applyGroupRow(known, record(7, "b", 1), {1, 20});
+    beginEra(known, eraSeenAt - 2900ms);
+    BOOST_TEST((confirmationOf(known, eraSeenAt, eraSeenAt) == Confirmation::Check));
+    KnownGroup hasSlept;
+    applyGroupRow(hasSlept, record(7, "b", 1), {1, 20});
+    beginEra(hasSlept, eraSeenAt - 3100ms);
+    KnownGroup isNew;
+    applyGroupRow(isNew, record(7, "b", 1), {2, 20});
+    for (const KnownGroup &it : {hasSlept, isNew}) {
+        BOOST_TEST((confirmationOf(it, eraSeenAt, eraSeenAt + 1900ms) == Confirmation::CheckLater));
+        BOOST_TEST((confirmationOf(it, eraSeenAt, eraSeenAt + 2100ms) == Confirmation::Check));
+    }
+}
+
+// The VM had released the primary, but not read the record of the change, when the store was lost.
+BOOST_AUTO_TEST_CASE(announcedChangeIsRepeated)
+{
+    const BootInstant eraSeenAt = bootNow();
+    KnownGroup group;
+    applyGroupRow(group, record(7, "b", 1), {1, 20});
+    group.announcedEpoch = 8;
+    beginEra(group, eraSeenAt - 1s);
+    BOOST_TEST((confirmationOf(group, eraSeenAt, eraSeenAt) == Confirmation::Change));
+    group.announcedEpoch = 7;
+    BOOST_TEST((confirmationOf(group, eraSeenAt, eraSeenAt) == Confirmation::Check));
+}
+
 BOOST_AUTO_TEST_CASE(primaryIsConfirmedOnlyIfNoMemberKnowsLaterTerm)
 {
     const GroupRecord serving = record(7, "b", 1);
--- a/gentianplank/node/restored_store_test.cc
+++ b/gentianplank/node/restored_store_test.cc
@@ -168,6 +168,27 @@
     BOOST_TEST(store.fencingTokens().empty());
 }
 
+// A promotion that was sent before the return takes effect after it. Until then the members confirm
+// the primary of the copy.
+BOOST_FIXTURE_TEST_CASE(restartedVmsWaitForPromotionOfEarlierEra, RestoredFixture)
+{
+    const HttpTableStore::Copy copy = store.copy();
+    writeUnrelatedRows(20);
+    first = nullptr;
+    second = nullptr;
+    store.restore(copy);
+    const size_t before = group.runs().size();
+    first = std::make_unique<Vm>("vm-1", "a", store);
+    second = std::make_unique<Vm>("vm-2", "b", store);
+    BOOST_TEST(!isWriteServed(*first, "a", 1s));
+    group.promote(1);
+    BOOST_TEST(isWriteServed(*second, "b", 6s));
+    const auto runs = group.runs();
+    for (size_t i = before; i < runs.size(); ++i) {
+        BOOST_TEST(runs[i].member == 1U);
+    }
+}
+
 // A withdrawn key was in the copy. Reading the copy proves nothing while it is older than what is
 // in force.
 BOOST_FIXTURE_TEST_CASE(olderConfigurationOfCopyIsNeitherUsedNorProven, RestoredFixture)
