Tell VMs without memory which configuration was in force

What callers would see: a withdrawn key is let in, or a route that was added isn't served, by a process that starts between the store's return and the operator's next write, since the copy's configuration is the only one that it knows and reading it looks like a proof.

Cause: the revision in force was known only to running processes.

The holder of the promotion duty, which takes it again in each era, names the revision in force at it in the duty's row. A stored configuration of a lower revision is from the copy: it isn't used, and what was proven by it within the lifetime of a proof is taken back. No further call is made. Until the duty is taken again, some tenths of a second, and when no running process remembers, the copy's configuration is believed.

--- a/gentianplank/node/control/control_duty.cc
+++ b/gentianplank/node/control/control_duty.cc
@@ -102,7 +102,8 @@
     mayPromoteImmediately = hasHolderEnded && bootNow() - newEraAt > DutyHandOverDelay;
     // Only holders write groups' records, and the condition shows that the era had none before.
     const bool isFirstOfEra = isAbsent(dutyVersion) || isCarriedOver(duty.era, dutyVersion);
-    const DutyRecord acquired{settings.name, incarnation, fleetFollower->version().era};
+    const DutyRecord acquired{settings.name, incarnation, fleetFollower->version().era,
+                              routing ? routing->revision : 0};
     RowTransaction transaction;
     transaction.conditions.push_back({FleetTable, PromotionDutyKey, dutyVersion});
     transaction.writes.push_back(
--- a/gentianplank/node/control/control_state.h
+++ b/gentianplank/node/control/control_state.h
@@ -90,6 +90,8 @@
                  std::function<void(const std::vector<StoredRow> &)> onChanges,
                  std::function<void(BootInstant)> onUpToDate);
     void applyConfiguration(const std::vector<StoredRow> &rows);
+    void requireRevision(uint64_t revision);
+    void publishConfigurationProof(BootInstant at);
     void applyMembers(const std::vector<StoredRow> &rows);
     void applyFleetRows(const std::vector<StoredRow> &rows);
     void applyVmRow(const StoredRow &row);
@@ -187,8 +189,10 @@
     BootInstant newEraAt{};
     // The tables whose first rows of a new era are being applied.
     std::set<std::string> tablesInNewEra;
-    // The stored configuration is older than the one in force, so reading it proves nothing.
-    bool isConfigurationBehind = false;
+    // The revision of the stored configuration, 0 if there is none, and the lowest that can be
+    // current as far as this VM knows.
+    uint64_t storedRevision = 0;
+    uint64_t minRevision = 0;
     // The version of this VM's own row after its last write; absent before the first.
     StoreVersion ownRowVersion;
     bool isFollowingAll = false;
--- a/gentianplank/node/control/control_store.cc
+++ b/gentianplank/node/control/control_store.cc
@@ -78,10 +78,7 @@
             platform::OperatorTable,
             [this](const std::vector<StoredRow> &rows) { applyConfiguration(rows); },
             [this](BootInstant at) {
-                if (!isConfigurationBehind) {
-                    proofs.configuration = at;
-                    traffic->publishProofs(proofs);
-                }
+                publishConfigurationProof(at);
                 relay.onFollowerAdvanced(platform::OperatorTable, *configurationFollower);
             }));
     followSettings.wait = times.memberFeedWait;
@@ -194,7 +191,7 @@
             continue;
         }
         if (row.erased) {
-            isConfigurationBehind = routing != nullptr;
+            storedRevision = 0;
             logEvent("configuration.missing", {{"row_version", toString(row.version)}});
             continue;
         }
@@ -204,16 +201,15 @@
                      {{"row_version", toString(row.version)}, {"why", decoded.error()}});
             continue;
         }
-        // Revisions only increase, so the store came back from an older copy, and the operator has
-        // not written the configuration again yet.
-        isConfigurationBehind = routing && decoded->revision < routing->revision;
-        if (isConfigurationBehind) {
-            logEvent("configuration.older", {{"revision", decoded->revision},
-                                             {"in_force", routing->revision},
+        storedRevision = decoded->revision;
+        if (storedRevision < minRevision) {
+            logEvent("configuration.older", {{"revision", storedRevision},
+                                             {"known", minRevision},
                                              {"row_version", toString(row.version)}});
             continue;
         }
         routing = std::make_shared<const Routing>(std::move(*decoded));
+        minRevision = routing->revision;
         logEvent("configuration.in_force", {{"revision", routing->revision},
                                             {"row_version", toString(row.version)},
                                             {"routes", routing->routes.size()},
@@ -222,6 +218,29 @@
     }
 }
 
+// Revisions only increase. A lower one in the store came back with an older copy, and the operator
+// has not written the configuration again yet: reading it proves nothing.
+void Control::State::publishConfigurationProof(BootInstant at)
+{
+    if (storedRevision >= minRevision) {
+        proofs.configuration = at;
+        traffic->publishProofs(proofs);
+    }
+}
+
+// Another VM has had the revision in force. What this VM has read in the current era of the store
+// may have been older.
+void Control::State::requireRevision(uint64_t revision)
+{
+    minRevision = std::max(minRevision, revision);
+    const bool isEraNew = bootNow() - eraSeenAt < derivedTimes(settings).configurationProofLifetime;
+    if (storedRevision < minRevision && isEraNew && proofs.configuration != BootInstant{}) {
+        logEvent("configuration.older", {{"revision", storedRevision}, {"known", minRevision}});
+        proofs.configuration = {};
+        traffic->publishProofs(proofs);
+    }
+}
+
 void Control::State::applyMembers(const std::vector<StoredRow> &rows)
 {
     const BootInstant now = bootNow();
@@ -341,6 +360,7 @@
     duty = *record;
     dutyVersion = row.version;
     holderLastSeenAt = bootNow();
+    requireRevision(duty.configurationRevision);
     logEvent("duty.holder", {{"vm", duty.holder},
                              {"token", toOrderedNumber(dutyVersion)},
                              {"row_version", toString(dutyVersion)},
--- a/gentianplank/node/restored_store_test.cc
+++ b/gentianplank/node/restored_store_test.cc
@@ -215,6 +215,33 @@
     BOOST_TEST(isKeyRefusedSoon(*first, "k2"));
 }
 
+// A process without memory let a key in that had been withdrawn, since the copy still had it.
+BOOST_FIXTURE_TEST_CASE(restartedVmDoesNotTrustConfigurationOfCopy, RestoredFixture)
+{
+    const HttpTableStore::Copy copy = store.copy();
+    writeUnrelatedRows(20);
+    store.put("op", "config", configuration(2, R"("k1")"));
+    BOOST_TEST(isKeyRefusedSoon(*first, "k2"));
+    BOOST_TEST(isKeyRefusedSoon(*second, "k2"));
+    const auto duty = decodeDutyRecord(store.get(FleetTable, PromotionDutyKey)->first);
+    BOOST_REQUIRE(duty);
+    const bool isFirstRestarted = duty->holder != "vm-1";
+    (isFirstRestarted ? first : second) = nullptr;
+    store.restore(copy);
+    std::this_thread::sleep_for(1s);
+    auto &restarted = isFirstRestarted ? first : second;
+    restarted = isFirstRestarted ? std::make_unique<Vm>("vm-1", "a", store)
+                                 : std::make_unique<Vm>("vm-2", "b", store);
+    for (int i = 0; i < 10; ++i) {
+        BOOST_TEST(
+            Caller(restarted->callerAddress()).firstLine("START ledger k2").starts_with("ERROR"));
+        std::this_thread::sleep_for(100ms);
+    }
+    store.put("op", "config", configuration(2, R"("k1")"));
+    BOOST_TEST(isKeyAcceptedSoon(*restarted, "k1"));
+    BOOST_TEST(isKeyRefusedSoon(*restarted, "k2"));
+}
+
 // A member that was leaving is ready again in the copy.
 BOOST_FIXTURE_TEST_CASE(leavingMemberGetsNoNewStatementsAfterReturn, RestoredFixture)
 {
--- a/gentianplank/target/group_record_test.cc
+++ b/gentianplank/target/group_record_test.cc
@@ -13,6 +13,15 @@
     BOOST_TEST(!decodeGroupRecord(""));
 }
 
+BOOST_AUTO_TEST_CASE(eraOfRecordIsKeptIfItsWriterKnowsIt)
+{
+    GroupRecord record;
+    record.group = "g";
+    BOOST_TEST(!decodeGroupRecord(encodeGroupRecord(record))->era);
+    record.era = 2;
+    BOOST_TEST((decodeGroupRecord(encodeGroupRecord(record)) == record));
+}
+
 BOOST_AUTO_TEST_CASE(primaryIsUsableOnlyUnderAnUnexpiredLeaseInServingPhase)
 {
     const BootInstant provenAt(100s);
--- a/gentianplank/vm/fleet_records.cc
+++ b/gentianplank/vm/fleet_records.cc
@@ -69,7 +69,9 @@
 
 std::string encodeDutyRecord(const DutyRecord &record)
 {
-    nlohmann::json json{{"holder", record.holder}, {"incarnation", record.incarnation}};
+    nlohmann::json json{{"holder", record.holder},
+                        {"incarnation", record.incarnation},
+                        {"configuration_revision", record.configurationRevision}};
     encodeEra(record.era, json);
     return json.dump();
 }
@@ -80,6 +82,7 @@
         record.holder = json.at("holder").get<std::string>();
         record.incarnation = json.at("incarnation").get<uint64_t>();
         record.era = decodeEra(json);
+        record.configurationRevision = json.value("configuration_revision", uint64_t{0});
     });
 }
 
--- a/gentianplank/vm/fleet_records.h
+++ b/gentianplank/vm/fleet_records.h
@@ -55,6 +55,9 @@
     uint64_t incarnation = 0;
     // As VmRecord::era.
     std::optional<uint64_t> era = std::nullopt;
+    // The configuration in force at the holder when it acquired the duty. A stored configuration of
+    // a lower revision is one that came back from an older copy of the store.
+    uint64_t configurationRevision = 0;
 };
 
 // Converts to and from JSON, like the functions for VmRecord.
--- a/gentianplank/vm/fleet_records_test.cc
+++ b/gentianplank/vm/fleet_records_test.cc
@@ -27,6 +27,23 @@
     BOOST_TEST(!decodeDutyRecord("no json"));
 }
 
+// During an update of the fleet, records of processes that don't know eras are read, too.
+BOOST_AUTO_TEST_CASE(recordsStateTheirEraIfTheirWriterKnowsIt)
+{
+    VmRecord record = vm("vm-1", "a", "r");
+    BOOST_TEST(!decodeVmRecord(encodeVmRecord(record))->era);
+    record.era = 0;
+    BOOST_TEST(*decodeVmRecord(encodeVmRecord(record))->era == 0U);
+    const auto duty = decodeDutyRecord(encodeDutyRecord({"vm-1", 7, 2, 12}));
+    BOOST_REQUIRE(duty);
+    BOOST_TEST(*duty->era == 2U);
+    BOOST_TEST(duty->configurationRevision == 12U);
+    const auto earlier = decodeDutyRecord(R"({"holder":"vm-1","incarnation":7})");
+    BOOST_REQUIRE(earlier);
+    BOOST_TEST(!earlier->era);
+    BOOST_TEST(earlier->configurationRevision == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(vmsInTheZoneOfTheMemberDispatchFirst)
 {
     std::vector<VmRecord> vms{vm("far", "c", "s"), vm("near", "b", "r"), vm("in-1", "a", "r"),
