Accept a store that has never named its era

What callers saw: everything refused.

A store that has never named an era is in era 0. Once it has, a missing one is an error as before, and so is an invalid one at any time.

--- a/gentianplank/platform/http_row_store.cc
+++ b/gentianplank/platform/http_row_store.cc
@@ -115,6 +115,9 @@
 tl::expected<uint64_t, RowError> HttpRowStore::readEra(const HttpResponse &response)
 {
     const auto text = findHeader(response.headers, EraHeader);
+    if (!text && !m_era) {
+        return 0;
+    }
     const auto era = text ? parseNumber(*text) : std::nullopt;
     if (!era) {
         const std::string what = text ? "the store's answer has an invalid " +
--- a/gentianplank/platform/http_row_store.h
+++ b/gentianplank/platform/http_row_store.h
@@ -7,8 +7,9 @@
 
 namespace gentianplank::platform {
 
-// An answer that should hold rows or a version but names no valid era of the store fails with
-// BadAnswer. Not thread-safe; use on the thread that runs `client`. The store must outlive all
+// A store that has never named an era is in era 0. Once it has, an answer that should hold rows or
+// a version but names no era fails with BadAnswer, as does one that names an invalid era. Not
+// thread-safe; use on the thread that runs `client`. The store must outlive all
 // calls made with it, and `client` must outlive the store.
 class HttpRowStore : public RowStore
 {
--- a/gentianplank/platform/http_row_store_test.cc
+++ b/gentianplank/platform/http_row_store_test.cc
@@ -161,6 +161,24 @@
     BOOST_TEST(write("a", "2", *version).has_value());
 }
 
+// A store of an earlier release doesn't name eras. Everything was refused with it.
+BOOST_FIXTURE_TEST_CASE(storeThatNamesNoEraIsInEraZero, Fixture)
+{
+    platform.setEraHeader(std::nullopt);
+    const auto version = write("a", "1", {});
+    BOOST_REQUIRE(version);
+    BOOST_TEST(version->era == 0U);
+    BOOST_TEST(read().has_value());
+    BOOST_TEST(feed(*version).has_value());
+    BOOST_TEST(write("a", "2", *version).has_value());
+    // Its first named era is a later one.
+    platform.setEraHeader("1");
+    BOOST_TEST((feed(*version).error().fault == RowFault::HistoryGone));
+    BOOST_TEST(read()->version.era == 1U);
+    platform.setEraHeader(std::nullopt);
+    BOOST_TEST((read().error().fault == RowFault::BadAnswer));
+}
+
 // Guards against a feed that is continued from a version number that was assigned again: the
 // changes below it were never read.
 BOOST_FIXTURE_TEST_CASE(feedOfEarlierEraIsNotContinued, Fixture)
