--- a/gentianplank/node/control/control_state.h
+++ b/gentianplank/node/control/control_state.h
@@ -1,6 +1,7 @@
 // The state of the control thread, shared by control.cc (messages and the periodic tick),
-// control_store.cc (table feeds and this VM's own row), control_duty.cc (the promotion duty, and
-// VMs that no longer answer) and control_groups.cc (the groups' primaries).
+// control_store.cc (table feeds and this VM's own row), control_fleet_rows.cc (the rows of the
+// fleet table), control_duty.cc (the promotion duty, and VMs that no longer answer) and
+// control_groups.cc (the groups' primaries).
 #pragma once
 
 #include "gentianplank/node/control/control.h"
