--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -26,7 +26,7 @@
     };
 
     Session mover;
-    if (!mover.start(world.machines.at(machine)->ip, World::FrontPort, "db1", "key-1b") ||
+    if (!mover.start(world.machines.at(machine)->ip, world.frontPort, "db1", "key-1b") ||
         !send(mover, "key-1b", "BEGIN").second.succeeded() ||
         !send(mover, "key-1b", "WRITE advance-a 100").second.succeeded()) {
         world.fail("no transaction with key-1b");
@@ -49,7 +49,7 @@
     const int64_t from = nowMs();
     for (int i = 0; i < 40; ++i) {
         Session session;
-        if (!session.start(world.machines.at(machine)->ip, World::FrontPort, "db1", "key-2")) {
+        if (!session.start(world.machines.at(machine)->ip, world.frontPort, "db1", "key-2")) {
             continue;
         }
         const std::string item = "advance-" + std::to_string(i);
