Log the organisation that a connection was opened for

Ruled out: a field of organisation in each statement's answer; it costs more bytes between VMs and would repeat what the entry VM believes. Change: connections are numbered in the process. Result: outcomeNamesItsConnection compares the numbers with the member's own.

--- a/gentianplank/node/traffic/caller_session_statements.cc
+++ b/gentianplank/node/traffic/caller_session_statements.cc
@@ -175,6 +175,7 @@
                            {"vm", result.vm},
                            {"member", result.member},
                            {"epoch", result.epoch},
+                           {"connection", outcome.connection},
                            {"took_ms", toMilliseconds(duration)},
                            {"added_us", (duration - outcome.timeAtMember).count()},
                            {"fate", static_cast<int>(outcome.execution)},
--- a/gentianplank/node/traffic/forwarded_statement.cc
+++ b/gentianplank/node/traffic/forwarded_statement.cc
@@ -115,6 +115,7 @@
     wire->set_unreachable(outcome.isUnreachable);
     wire->set_at_member_us(static_cast<uint32_t>(outcome.timeAtMember.count()));
     wire->set_unanswered_us(static_cast<uint32_t>(outcome.unansweredFor.count()));
+    wire->set_connection(outcome.connection);
     auto *load = wire->mutable_load();
     load->set_expected_wait_ms(toMs(outcome.expectedWait));
     load->set_recent_reads(toCount(outcome.memberReads.statements));
@@ -139,6 +140,7 @@
     outcome.isUnreachable = wire.unreachable();
     outcome.timeAtMember = Duration(wire.at_member_us());
     outcome.unansweredFor = Duration(wire.unanswered_us());
+    outcome.connection = wire.connection();
     const auto &load = wire.load();
     outcome.expectedWait = fromMilliseconds(load.expected_wait_ms());
     outcome.memberReads = {
--- a/gentianplank/node/traffic/forwarded_statement.h
+++ b/gentianplank/node/traffic/forwarded_statement.h
@@ -85,6 +85,9 @@
     // How long the member had the statement without answering it, when the dispatcher gave up; 0 if
     // the answer was not lost between the dispatcher and the member.
     Duration unansweredFor{0};
+    // The dispatching VM's number of the connection that the statement had; 0 if it had none. Its
+    // log event "connection.opened" names the organisation that the connection was started for.
+    uint64_t connection = 0;
     // How the member handled the reads of all VMs in the last seconds, as its dispatcher saw them.
     Evidence memberReads;
 };
--- a/gentianplank/node/traffic/member_dispatcher_links.cc
+++ b/gentianplank/node/traffic/member_dispatcher_links.cc
@@ -87,6 +87,11 @@
         isLoggedUnreachable = false;
         logEvent("member.reached", {{"member", entry.id}, {"group", entry.group}});
     }
+    logEvent("connection.opened", {{"connection", job->link->number()},
+                                   {"member", entry.id},
+                                   {"group", entry.group},
+                                   {"organisation", job->link->organisation()},
+                                   {"for", job->statement.requestId}});
     job->link->onIdleClose([weak = self, link = job->link.get()] {
         auto owner = weak.lock();
         if (!owner) {
@@ -394,6 +399,7 @@
 void MemberDispatcher::State::reportOutcome(const JobPointer &job, StatementOutcome outcome) const
 {
     outcome.memberReads = evidenceOf(reads, steadyNow());
+    outcome.connection = job->link ? job->link->number() : 0;
     outcome.expectedWait = expectedWaitOf(*job);
     if (outcome.code && outcome.execution != StatementExecution::Answered) {
         logEvent("dispatch.failed", {{"id", job->statement.requestId},
--- a/gentianplank/node/traffic/member_dispatcher_test.cc
+++ b/gentianplank/node/traffic/member_dispatcher_test.cc
@@ -362,6 +362,29 @@
     }
 }
 
+// Guards against logs that can't tell on which connection, and so for which organisation, a
+// statement ran.
+BOOST_FIXTURE_TEST_CASE(outcomeNamesItsConnection, Fixture)
+{
+    std::map<uint64_t, uint64_t> numbers;
+    for (uint64_t i = 0; i < 6; ++i) {
+        ForwardedStatement it = statement(i, "READ a", ForwardKind::Read);
+        it.organisation = i % 2 == 0 ? "t1" : "t2";
+        const StatementOutcome outcome = run(it);
+        BOOST_TEST(outcome.connection != 0U);
+        const uint64_t atMember = group.runs().back().connection;
+        BOOST_TEST(numbers.try_emplace(outcome.connection, atMember).first->second == atMember);
+        peer::v1::Answer wire;
+        toWire(outcome, &wire);
+        BOOST_TEST(fromWire(wire).connection == outcome.connection);
+    }
+    BOOST_TEST(numbers.size() == 2U);
+    group.crash(0);
+    dispatcher->close("crashed");
+    runFor(20ms);
+    BOOST_TEST(run(statement(9, "READ a", ForwardKind::Read)).connection == 0U);
+}
+
 // Guards against statements without an answer: a dispatcher was destroyed with its queue when its
 // member's entry was gone for 2.3 s.
 BOOST_FIXTURE_TEST_CASE(retiredDispatcherAnswersAllStatements, Fixture)
--- a/gentianplank/node/traffic/member_link.cc
+++ b/gentianplank/node/traffic/member_link.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 
 #include <array>
+#include <atomic>
 
 namespace gentianplank {
 
@@ -24,6 +25,13 @@
 // above the round trip within a region, and below any statement timeout.
 constexpr Duration UnacknowledgedDataTimeout = std::chrono::milliseconds(500);
 
+// Links are opened by the traffic thread and by the control thread.
+uint64_t nextNumber()
+{
+    static std::atomic<uint64_t> last{0};
+    return ++last;
+}
+
 } // namespace
 
 struct MemberLink::State
@@ -44,6 +52,7 @@
         memory.setOwner(organisation, "");
     }
 
+    const uint64_t number = nextNumber();
     const std::string organisation;
 
     asio::ip::tcp::socket socket;
@@ -138,6 +147,11 @@
     return m_state->isOpen && !m_state->isClosed;
 }
 
+uint64_t MemberLink::number() const
+{
+    return m_state->number;
+}
+
 const std::string &MemberLink::organisation() const
 {
     return m_state->organisation;
--- a/gentianplank/node/traffic/member_link.h
+++ b/gentianplank/node/traffic/member_link.h
@@ -82,6 +82,9 @@
     // Whether a request is outstanding.
     bool isBusy() const;
 
+    // Unique in this process, from 1 on.
+    uint64_t number() const;
+
     // The organisation that the session was started for. Only its statements may use the
     // connection, since the member was told no other.
     const std::string &organisation() const;
