A statement that waited runs only for the holder of its key

What callers saw: the organisation of a statement was decided once, when its entry VM read it. A statement that then waited (for a primary, for a connection or a slot, on a link to a frozen VM, or for another attempt) ran up to its route's timeout later for the organisation that had held the key, also if the key had been withdrawn or moved meanwhile, and whatever the dispatching VM knew. Cause: neither the router nor the dispatcher looked at the key again. Ruled out: the wait for the rate (100 ms at most). Age limits for a decision: they refuse statements whose key did not move, and the time in a frozen VM's sockets doesn't count. Sending the key: VMs need only recognise it. Change: the router checks the key before each attempt. A statement carries a fingerprint of its key and the revision that it was decided by; the dispatcher runs it only with a proven configuration, and by its own one if that is as recent. A proof ends before a withdrawn key must be refused, so that bounds all waits. Waiting statements are refused when the configuration changes. 18 bytes more for a statement between VMs.

--- a/gentianplank/configuration/routing.cc
+++ b/gentianplank/configuration/routing.cc
@@ -1,6 +1,9 @@
 #include "gentianplank/configuration/routing.h"
 
+#include "gentianplank/base/digest.h"
+
 #include <algorithm>
+#include <cstring>
 
 namespace gentianplank {
 
@@ -31,6 +34,43 @@
     return findIn(groups, name);
 }
 
+void addOrganisation(Routing &routing, OrganisationLimits organisation)
+{
+    for (const std::string &key : organisation.keys) {
+        routing.organisationByKey[key] = organisation.name;
+        routing.organisationByFingerprint[keyFingerprint(key)] = organisation.name;
+    }
+    const std::string name = organisation.name;
+    routing.organisations[name] = std::move(organisation);
+}
+
+uint64_t keyFingerprint(std::string_view key)
+{
+    if (key.empty()) {
+        return 0;
+    }
+    uint64_t fingerprint = 0;
+    std::memcpy(&fingerprint, keyDigest(key).data(), sizeof(fingerprint));
+    return fingerprint;
+}
+
+std::optional<std::string_view> organisationOfCaller(const DatabaseRoute &route,
+                                                     const OrganisationLimits *holder)
+{
+    if (holder != nullptr) {
+        return holder->name;
+    }
+    return route.isPublic ? std::optional(AnonymousOrganisation) : std::nullopt;
+}
+
+bool holdsKey(const Routing &routing, std::string_view organisation, uint64_t fingerprint)
+{
+    const auto it = routing.organisationByFingerprint.find(fingerprint);
+    return organisation == (it == routing.organisationByFingerprint.end()
+                                ? AnonymousOrganisation
+                                : std::string_view(it->second));
+}
+
 Duration longestStatement(const Routing &routing)
 {
     Duration longest{0};
--- a/gentianplank/configuration/routing.h
+++ b/gentianplank/configuration/routing.h
@@ -12,10 +12,14 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace gentianplank {
 
+// What stands for callers without an organisation, on routes open to all.
+inline constexpr std::string_view AnonymousOrganisation = "-";
+
 // The commits that reads on a route must observe.
 enum class Consistency {
     // Every acknowledged commit.
@@ -84,6 +88,8 @@
     std::map<std::string, GroupLimits, std::less<>> groups;
     std::map<std::string, OrganisationLimits, std::less<>> organisations;
     std::map<std::string, std::string, std::less<>> organisationByKey;
+    // By keyFingerprint().
+    std::unordered_map<uint64_t, std::string> organisationByFingerprint;
     SessionLimits limits;
 
     // Return nullptr if there is none.
@@ -92,6 +98,23 @@
     const GroupLimits *group(std::string_view name) const;
 };
 
+// Adds an organisation and its keys. A key that another organisation has moves to this one.
+void addOrganisation(Routing &routing, OrganisationLimits organisation);
+
+// Returns a number that identifies a key to other VMs without telling it; 0 for no key.
+// Thread-safe.
+uint64_t keyFingerprint(std::string_view key);
+
+// Returns the organisation on whose behalf a caller uses a route: `holder`, the organisation of its
+// key, or AnonymousOrganisation if that is null and the route is open to all. Returns nullopt if
+// the caller may not use the route. Thread-safe.
+std::optional<std::string_view> organisationOfCaller(const DatabaseRoute &route,
+                                                     const OrganisationLimits *holder);
+
+// Whether the organisation holds the key of the fingerprint; nobody holds the keys of
+// AnonymousOrganisation. Thread-safe.
+bool holdsKey(const Routing &routing, std::string_view organisation, uint64_t fingerprint);
+
 // Returns the longest statement timeout of all routes; zero without routes.
 Duration longestStatement(const Routing &routing);
 
--- a/gentianplank/node/key_move_test.cc
+++ b/gentianplank/node/key_move_test.cc
@@ -8,7 +8,7 @@
 namespace {
 
 // Organisations t1 and t2; the key "moving" belongs to `holder`, and to nobody if that is empty.
-std::string tenants(int version, const std::string &holder)
+std::string tenants(int version, const std::string &holder, int connectionLimit = 16)
 {
     const auto tenant = [&](const std::string &name, const std::string &key) {
         return R"({"name":")" + name + R"(","api-keys":[")" + key + '"' +
@@ -16,6 +16,8 @@
                R"(],"rate-per-s":1000000,"burst-size":1000000})";
     };
     std::string text = configuration(version, "");
+    const std::string limit = "\"connection-limit\":";
+    text.replace(text.find(limit), limit.size() + 2, limit + std::to_string(connectionLimit));
     const size_t at = text.find("\"tenants\":");
     return text.substr(0, at) + "\"tenants\":[" + tenant("t1", "k1") + "," + tenant("t2", "k2") +
            "]}";
@@ -38,12 +40,12 @@
 
     // Waits until statements with the moving key run for the organisation; if it is empty, until
     // the key is refused.
-    void awaitOrganisation(const std::string &holder)
+    void awaitOrganisation(const std::string &holder, const std::string &database = "main")
     {
         const auto end = std::chrono::steady_clock::now() + 10s;
         while (std::chrono::steady_clock::now() < end) {
             Caller probe(first->callerAddress());
-            const std::string answer = probe.firstLine("START main moving");
+            const std::string answer = probe.firstLine("START " + database + " moving");
             if (holder.empty() && answer.starts_with("ERROR NOAUTH")) {
                 return;
             }
@@ -182,3 +184,31 @@
     BOOST_TEST(lastRunOf("m4") == "t2");
     BOOST_TEST(group.committed().count("a") == 0U);
 }
+
+// Guards against a statement that waits at its dispatcher while its key moves, and then runs for
+// the former organisation. It is refused when the configuration changes, not at its deadline.
+BOOST_FIXTURE_TEST_CASE(waitingStatementEndsWhenItsKeyMoves, Fixture)
+{
+    store.put("op", "config", tenants(++version, "t1", 4));
+    std::this_thread::sleep_for(200ms);
+    // Transactions hold all connections to the primary; reads go to replicas.
+    std::vector<std::unique_ptr<Caller>> holders;
+    while (holders.size() < 3) {
+        holders.push_back(std::make_unique<Caller>(first->callerAddress()));
+        holders.back()->firstLine("START main k2");
+        holders.back()->firstLine("QUERY h1 BEGIN");
+        BOOST_TEST(holders.back()->firstLine("QUERY h2 WRITE h 1").starts_with("DONE"));
+    }
+    Caller mover(first->callerAddress());
+    mover.firstLine("START main moving");
+    mover.sendRaw("QUERY m1 WRITE a 1\r\n");
+    BOOST_TEST(!mover.isRefusedWithin(100ms));
+    store.put("op", "config", tenants(++version, "t2", 4));
+    awaitOrganisation("t2", "ledger");
+    BOOST_TEST(mover.isRefusedWithin(300ms));
+    holders.clear();
+    BOOST_TEST(mover.firstLine("QUERY m2 READ a").starts_with("ERROR BUSY"));
+    std::this_thread::sleep_for(100ms);
+    BOOST_TEST(lastRunOf("m1").empty());
+    BOOST_TEST(group.committed().count("a") == 0U);
+}
--- a/gentianplank/node/traffic/caller_session.cc
+++ b/gentianplank/node/traffic/caller_session.cc
@@ -134,8 +134,8 @@
         rejectStart(ErrorCode::NoDatabase, "no route serves this database name");
         return;
     }
-    const OrganisationLimits *owner = routing->organisationOfKey(message.key);
-    if (owner == nullptr && !route->isPublic) {
+    const OrganisationLimits *holder = routing->organisationOfKey(message.key);
+    if (!organisationOfCaller(*route, holder)) {
         rejectStart(ErrorCode::NoAuthorisation, "the API key is unknown or was withdrawn");
         return;
     }
@@ -144,8 +144,9 @@
     startedAt = queryReceivedAtSteady;
     database = message.database;
     key = message.key;
+    fingerprint = keyFingerprint(key);
     stateBytes = database.size() + key.size();
-    memory.setOwner(owner == nullptr ? "" : owner->name, clientAddress);
+    memory.setOwner(holder == nullptr ? "" : holder->name, clientAddress);
     write(platform::encodeReady(TransactionState::Idle, {}), false);
 }
 
--- a/gentianplank/node/traffic/caller_session_state.h
+++ b/gentianplank/node/traffic/caller_session_state.h
@@ -108,6 +108,7 @@
     bool hasSentStatement = false;
     std::string database;
     std::string key;
+    uint64_t fingerprint = 0;
     // Of the statement in progress, and whether a token of its rate was taken for it.
     std::string organisation;
     bool hasTakenToken = false;
--- a/gentianplank/node/traffic/caller_session_statements.cc
+++ b/gentianplank/node/traffic/caller_session_statements.cc
@@ -14,8 +14,6 @@
 constexpr size_t MaxSessionNames = 1000;
 // Limit on their bytes. They are copied with each statement; a value may be as large as a message.
 constexpr size_t MaxSessionStateBytes = 2 * platform::MaxMessageBytes;
-// What members are told of callers without an organisation, on routes open to all.
-constexpr char AnonymousOrganisation[] = "-";
 
 // Whether a member may have executed the statement.
 bool mayHaveRun(const StatementOutcome &outcome)
@@ -80,13 +78,14 @@
                         "no route serves this database name");
         return;
     }
-    const OrganisationLimits *owner = routing->organisationOfKey(key);
-    if (owner == nullptr && !route->isPublic) {
+    const OrganisationLimits *holder = routing->organisationOfKey(key);
+    const auto caller = organisationOfCaller(*route, holder);
+    if (!caller) {
         rejectStatement(step, statement, ErrorCode::NoAuthorisation,
                         "the API key is unknown or was withdrawn");
         return;
     }
-    organisation = owner == nullptr ? AnonymousOrganisation : owner->name;
+    organisation = *caller;
     hasTakenToken = false;
     if (step.continuesTransaction && organisation != transactionOrganisation) {
         // The connection of the transaction was started for the former organisation.
@@ -102,7 +101,7 @@
         return;
     }
     isBusy = true;
-    if (owner == nullptr || step.continuesTransaction) {
+    if (holder == nullptr || step.continuesTransaction) {
         routeAdmitted(step, statement, *route);
         return;
     }
@@ -128,6 +127,7 @@
     ForwardedStatement &forwarded = request.statement;
     forwarded.session = {0, number};
     forwarded.organisation = organisation;
+    forwarded.keyFingerprint = fingerprint;
     forwarded.requestId = statement.requestId;
     forwarded.text = step.prepared ? statement.arguments : statement.text;
     forwarded.kind = step.kind;
--- a/gentianplank/node/traffic/explain.cc
+++ b/gentianplank/node/traffic/explain.cc
@@ -150,20 +150,21 @@
     return route;
 }
 
-// Returns the organisation's name, or "-" for a caller without one.
+// Returns the organisation's name, or AnonymousOrganisation for a caller without one.
 std::string checkOrganisation(Checks &checks, const ExplainQuery &query, const ExplainFacts &facts,
                               const Routing &routing, const DatabaseRoute *route)
 {
-    const OrganisationLimits *owner = organisationOf(query, routing);
-    const bool isAllowed = owner != nullptr || (route != nullptr && route->isPublic);
-    std::string name = owner == nullptr ? "-" : owner->name;
+    const OrganisationLimits *holder = organisationOf(query, routing);
+    const bool isAllowed =
+        holder != nullptr || (route != nullptr && organisationOfCaller(*route, holder));
+    std::string name(holder == nullptr ? AnonymousOrganisation : holder->name);
     checks.add("organisation", isAllowed ? "" : "the API key is unknown or was withdrawn",
                {{"organisation", name}});
-    if (owner == nullptr) {
+    if (holder == nullptr) {
         return name;
     }
-    const auto rate = facts.rateOf(owner->name);
-    Json inputs{{"per_second", owner->perSecond}, {"burst", owner->burst}};
+    const auto rate = facts.rateOf(holder->name);
+    Json inputs{{"per_second", holder->perSecond}, {"burst", holder->burst}};
     if (rate) {
         inputs.update({{"tokens_here", rate->tokens},
                        {"share_per_second", rate->sharePerSecond},
--- a/gentianplank/node/traffic/forwarded_statement.cc
+++ b/gentianplank/node/traffic/forwarded_statement.cc
@@ -41,6 +41,8 @@
     wire->set_group(statement.group);
     wire->set_member(statement.member);
     wire->set_organisation(statement.organisation);
+    wire->set_key_fingerprint(statement.keyFingerprint);
+    wire->set_revision(statement.revision);
     wire->set_request_id(statement.requestId);
     wire->set_text(statement.text);
     wire->set_kind(static_cast<uint32_t>(statement.kind));
@@ -75,6 +77,8 @@
     statement.group = wire.group();
     statement.member = wire.member();
     statement.organisation = wire.organisation();
+    statement.keyFingerprint = wire.key_fingerprint();
+    statement.revision = wire.revision();
     statement.requestId = wire.request_id();
     statement.text = wire.text();
     statement.kind = static_cast<ForwardKind>(wire.kind());
--- a/gentianplank/node/traffic/forwarded_statement.h
+++ b/gentianplank/node/traffic/forwarded_statement.h
@@ -30,6 +30,10 @@
     std::string group;
     std::string member;
     std::string organisation;
+    // Of the caller's key, see keyFingerprint(), and the revision of the configuration by which the
+    // organisation holds it. 0 from a VM that sends no revision.
+    uint64_t keyFingerprint = 0;
+    uint64_t revision = 0;
     std::string requestId;
     // Text for the member; for a prepared statement, the arguments after its name.
     std::string text;
--- a/gentianplank/node/traffic/member_dispatcher.cc
+++ b/gentianplank/node/traffic/member_dispatcher.cc
@@ -28,6 +28,10 @@
         reportOutcome(job, unreachable(unreachableReason));
         return;
     }
+    if (auto refusal = refusalByConfiguration(*job)) {
+        reportOutcome(job, std::move(*refusal));
+        return;
+    }
     if (auto refusal = coldRefusal(*job)) {
         reportOutcome(job, std::move(*refusal));
         return;
@@ -357,6 +361,7 @@
     m_state->expireWaiting(now);
     m_state->checkLiveness(now);
     m_state->observeHangs(now);
+    m_state->enforceConfiguration();
     m_state->enforceEvacuation();
     m_state->enforceColdPhase();
     std::vector<SessionId> expired;
--- a/gentianplank/node/traffic/member_dispatcher.h
+++ b/gentianplank/node/traffic/member_dispatcher.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "gentianplank/base/memory_budget.h"
+#include "gentianplank/configuration/routing.h"
 #include "gentianplank/node/traffic/forwarded_statement.h"
 #include "gentianplank/target/cold_allowance.h"
 #include "gentianplank/target/evacuation.h"
@@ -35,6 +36,9 @@
     std::function<bool(const std::string &group, uint64_t epoch)> mayUsePrimary;
     // Whether a statement may be sent now to the member, which is in `zone`. Granted if empty.
     std::function<SendPermission(const std::string &zone, bool isOpenTransaction)> sendPermission;
+    // Returns null while no configuration is proven to be in force on this VM. May be empty: then
+    // the entry VMs' decisions are not checked.
+    std::function<std::shared_ptr<const Routing>()> provenRouting;
     // Returns the member's cold phase. Called only if its limits have one.
     std::function<ColdPhase()> coldPhase;
     // Called when the member can't be reached.
--- a/gentianplank/node/traffic/member_dispatcher_placement.cc
+++ b/gentianplank/node/traffic/member_dispatcher_placement.cc
@@ -1,6 +1,9 @@
 #include "gentianplank/node/traffic/member_dispatcher_state.h"
 
 #include "gentianplank/base/event_log.h"
+#include "gentianplank/node/traffic/authority.h"
+
+#include <utility>
 
 namespace gentianplank {
 
@@ -31,14 +34,69 @@
     return link.isOpen() && !link.isBusy() && permissionFor(true) != SendPermission::ProofTooOld;
 }
 
+// Returns the refusal of a statement that may not run for its organisation.
+std::optional<StatementOutcome>
+MemberDispatcher::State::refusalByConfiguration(const Job &job) const
+{
+    if (!environment.provenRouting) {
+        return std::nullopt;
+    }
+    return authorityRefusal(environment.provenRouting().get(), job.statement);
+}
+
+// After a change of the configuration, rejects the waiting statements that may no longer run.
+void MemberDispatcher::State::enforceConfiguration()
+{
+    const auto routing = environment.provenRouting ? environment.provenRouting() : nullptr;
+    const uint64_t revision = routing ? routing->revision : 0;
+    if (std::exchange(checkedRevision, revision) == revision) {
+        return;
+    }
+    // All are removed before the first is reported, whose sender may add others.
+    std::vector<std::pair<JobPointer, StatementOutcome>> rejected;
+    const auto isRejected = [&](const JobPointer &job) {
+        auto refusal = refusalByConfiguration(*job);
+        if (refusal) {
+            rejected.emplace_back(job, std::move(*refusal));
+        }
+        return refusal.has_value();
+    };
+    std::erase_if(waiting, [&](const auto &it) {
+        const bool isErased = isRejected(it.second);
+        if (isErased) {
+            remove(queue, it.second->statement.organisation, it.first);
+        }
+        return isErased;
+    });
+    std::erase_if(stalled, isRejected);
+    std::erase_if(continuing, isRejected);
+    for (auto &[job, refusal] : rejected) {
+        reportOutcome(job, std::move(refusal));
+    }
+}
+
+// Returns why a statement on its connection may not be sent.
+std::optional<StatementOutcome> MemberDispatcher::State::refusalBeforeSending(const Job &job)
+{
+    const bool isOpenTransaction = job.statement.continuesTransaction;
+    const SendPermission permission = permissionFor(isOpenTransaction);
+    if (permission != SendPermission::Granted) {
+        return refusalOf(permission, isOpenTransaction);
+    }
+    updateColdPhase();
+    if (cold.isCold && (isWithoutAllowance() || !job.hasReservation)) {
+        return notRun(isOpenTransaction ? ErrorCode::Aborted : ErrorCode::Busy,
+                      "the member has become cold", MinRetryAfter);
+    }
+    return refusalByConfiguration(job);
+}
+
 // Sends a statement on its connection; the last place where it may be rejected instead.
 void MemberDispatcher::State::sendIfPermitted(const JobPointer &job)
 {
     const ForwardedStatement &statement = job->statement;
-    const SendPermission permission = permissionFor(statement.continuesTransaction);
-    updateColdPhase();
-    const bool isOverAllowance = cold.isCold && (isWithoutAllowance() || !job->hasReservation);
-    if (permission == SendPermission::Granted && !isOverAllowance) {
+    auto refusal = refusalBeforeSending(*job);
+    if (!refusal) {
         if (job->hasReservation) {
             job->hasReservation = false;
             spend(allowance);
@@ -53,10 +111,7 @@
     } else {
         keepIdle(link);
     }
-    finish(job, permission == SendPermission::Granted
-                    ? notRun(statement.continuesTransaction ? ErrorCode::Aborted : ErrorCode::Busy,
-                             "the member has become cold", MinRetryAfter)
-                    : refusalOf(permission, statement.continuesTransaction));
+    finish(job, std::move(*refusal));
 }
 
 // Rejects what waits for a member of an evacuated zone, and rolls back its transactions when their
--- a/gentianplank/node/traffic/member_dispatcher_state.h
+++ b/gentianplank/node/traffic/member_dispatcher_state.h
@@ -96,6 +96,9 @@
     void continueTransaction(const JobPointer &job);
     SendPermission permissionFor(bool isOpenTransaction) const;
     static StatementOutcome refusalOf(SendPermission permission, bool isOpenTransaction);
+    std::optional<StatementOutcome> refusalByConfiguration(const Job &job) const;
+    void enforceConfiguration();
+    std::optional<StatementOutcome> refusalBeforeSending(const Job &job);
     void sendIfPermitted(const JobPointer &job);
     bool mayRollBack(const MemberLink &link) const;
     void enforceEvacuation();
@@ -184,6 +187,8 @@
     // The member is gone: nothing is sent to it any more.
     bool isRetired = false;
     Instant positionsNeededAt{};
+    // The configuration that waiting statements were last checked against; 0 without a proven one.
+    uint64_t checkedRevision = 0;
     // Outcomes of the reads of all VMs, and of the statements that needed the primary of the epoch.
     OutcomeTally reads;
     OutcomeTally primaryStatements;
--- a/gentianplank/node/traffic/statement_router.cc
+++ b/gentianplank/node/traffic/statement_router.cc
@@ -28,6 +28,7 @@
 // Retry delays reported to callers.
 constexpr Duration MinRetryAfter = std::chrono::milliseconds(50);
 constexpr Duration NoPrimaryRetryAfter = std::chrono::milliseconds(300);
+constexpr Duration UnprovenRetryAfter = std::chrono::seconds(1);
 
 // A statement being routed.
 struct PendingStatement
@@ -54,6 +55,7 @@
 struct StatementRouter::State : std::enable_shared_from_this<StatementRouter::State>
 {
     void attempt(const PendingStatementPointer &pending);
+    std::optional<StatementOutcome> authoriseAgain(PendingStatement &pending) const;
     AttemptPlan plan(const PendingStatement &pending);
     void attemptPrimary(const PendingStatementPointer &pending, const AttemptPlan &plan);
     void attemptRead(const PendingStatementPointer &pending, const AttemptPlan &plan);
@@ -92,6 +94,10 @@
 void StatementRouter::State::attempt(const PendingStatementPointer &pending)
 {
     const RoutedStatement &request = pending->request;
+    if (auto refusal = authoriseAgain(*pending)) {
+        finish(*pending, {callerOutcome(*pending, std::move(*refusal)), "", "", 0});
+        return;
+    }
     if (request.statement.continuesTransaction) {
         if (!mayContinueTransaction(*environment.view(), homesOf(request), request.statement.member,
                                     request.pinnedVm, environment.ownName)) {
@@ -112,6 +118,35 @@
     }
 }
 
+// Checks by the configuration in force that the statement may run for its organisation. Returns the
+// refusal, if the key was withdrawn or moved while the statement waited.
+std::optional<StatementOutcome>
+StatementRouter::State::authoriseAgain(PendingStatement &pending) const
+{
+    if (!environment.provenRouting) {
+        return std::nullopt;
+    }
+    const auto routing = environment.provenRouting();
+    ForwardedStatement &statement = pending.request.statement;
+    if (!routing) {
+        return notRun(ErrorCode::Busy, "no configuration is proven to be in force on this VM",
+                      UnprovenRetryAfter);
+    }
+    if (holdsKey(*routing, statement.organisation, statement.keyFingerprint)) {
+        statement.revision = routing->revision;
+        return std::nullopt;
+    }
+    const DatabaseRoute *route = routing->routeOf(pending.request.origin.database);
+    const bool isPublic = route != nullptr && route->isPublic;
+    if (isPublic || !holdsKey(*routing, AnonymousOrganisation, statement.keyFingerprint)) {
+        return notRun(ErrorCode::Busy,
+                      "the API key's organisation changed while the statement waited",
+                      MinRetryAfter);
+    }
+    return notRun(ErrorCode::NoAuthorisation,
+                  "the API key was withdrawn while the statement waited");
+}
+
 AttemptPlan StatementRouter::State::plan(const PendingStatement &pending)
 {
     AttemptPlan plan;
--- a/gentianplank/node/traffic/statement_router.h
+++ b/gentianplank/node/traffic/statement_router.h
@@ -42,6 +42,9 @@
     // Returns the VMs that may dispatch for a member, most preferred first.
     std::function<std::span<const VmRecord *const>(const std::string &member)> dispatchers;
     std::function<bool(const std::string &vm)> isReachable;
+    // Returns null while no configuration is proven to be in force on this VM. May be empty: then
+    // statements are not checked again after their session.
+    std::function<std::shared_ptr<const Routing>()> provenRouting = nullptr;
     std::function<void(const std::string &vm, const ForwardedStatement &, OutcomeHandler)> execute;
     // This VM, which dispatches where no VM in the home regions can be reached.
     std::string ownName = {};
--- a/gentianplank/node/traffic/traffic.cc
+++ b/gentianplank/node/traffic/traffic.cc
@@ -110,6 +110,7 @@
                                        OutcomeHandler done) {
         execute(vm, statement, std::move(done));
     };
+    routerEnvironment.provenRouting = [this] { return provenRouting(); };
     routerEnvironment.ownName = settings.name;
     routerEnvironment.onPathUsed = [this](Distance distance, size_t bytes) {
         metrics.countPath(distance, bytes);
@@ -120,9 +121,7 @@
     router = std::make_unique<StatementRouter>(settings.place, std::move(routerEnvironment),
                                                std::move(zones));
 
-    sessionEnvironment.provenRouting = [this]() -> std::shared_ptr<const Routing> {
-        return hasProvenConfiguration() ? view->routing : nullptr;
-    };
+    sessionEnvironment.provenRouting = [this] { return provenRouting(); };
     sessionEnvironment.awaitRouting = [this](std::function<void()> resume) {
         if (hasEverBeenProven || steadyNow() - startedAt >= StartupGrace) {
             return false;
@@ -193,6 +192,11 @@
     return view->routing && bootNow() - proofs.configuration < times.configurationProofLifetime;
 }
 
+std::shared_ptr<const Routing> Traffic::State::provenRouting() const
+{
+    return hasProvenConfiguration() ? view->routing : nullptr;
+}
+
 bool Traffic::State::isReady() const
 {
     return !stoppingSince && hasProvenConfiguration() && !view->vms.empty() && acceptsCallers();
--- a/gentianplank/node/traffic/traffic_dispatch.cc
+++ b/gentianplank/node/traffic/traffic_dispatch.cc
@@ -66,6 +66,7 @@
     environment.sendPermission = [this](const std::string &zone, bool isOpenTransaction) {
         return sendPermission(zone, isOpenTransaction);
     };
+    environment.provenRouting = [this] { return provenRouting(); };
     environment.coldPhase = [this, member] { return coldPhase(member); };
     environment.onUnreachable = [this](const MemberEntry &entry, const std::string &) {
         handler.onMemberUnreachable(entry.group, entry.id);
--- a/gentianplank/node/traffic/traffic_state.h
+++ b/gentianplank/node/traffic/traffic_state.h
@@ -71,6 +71,8 @@
     void tick();
 
     bool hasProvenConfiguration() const;
+    // Returns null while no configuration is proven to be in force.
+    std::shared_ptr<const Routing> provenRouting() const;
     // Resumes sessions that wait for a configuration once one is proven or the startup grace is
     // over.
     void resumeWaitingSessions();
--- a/gentianplank/platform/documents.cc
+++ b/gentianplank/platform/documents.cc
@@ -85,11 +85,7 @@
             routing.groups[group.name] = group;
         }
         for (const Json &it : json.value("tenants", Json::array())) {
-            OrganisationLimits organisation = decodeOrganisation(it);
-            for (const std::string &key : organisation.keys) {
-                routing.organisationByKey[key] = organisation.name;
-            }
-            routing.organisations[organisation.name] = std::move(organisation);
+            addOrganisation(routing, decodeOrganisation(it));
         }
         const Json limits = json.value("limits", Json::object());
         if (limits.contains("header-timeout-ms")) {
