Own interface: a transaction ends when its key moves

What callers saw: at gentianplankd, a transaction, a pull or a request that waited for its rate went on for the organisation that had held its key before, when one change granted the key to another organisation. Cause: RequestAuthoriser::mayContinue asked whether the key's digest was granted at all, not to whom. Ruled out: single statements, whose organisation is read once from the granted key; connections to members, which carry no organisation. Change: ConfigurationView::isGranted takes the organisation.

--- a/gentianplank/configuration/view.cc
+++ b/gentianplank/configuration/view.cc
@@ -72,9 +72,10 @@
     return it->second;
 }
 
-bool ConfigurationView::isGranted(std::string_view digest) const
+bool ConfigurationView::isGranted(std::string_view digest, std::string_view organisation) const
 {
-    return m_state->organisationByDigest.contains(digest);
+    const auto it = m_state->organisationByDigest.find(digest);
+    return it != m_state->organisationByDigest.end() && it->second == organisation;
 }
 
 const configuration::v1::Route *ConfigurationView::route(std::string_view name) const
--- a/gentianplank/configuration/view.h
+++ b/gentianplank/configuration/view.h
@@ -38,9 +38,9 @@
     // Returns the organisation that a key is granted to, or nullopt.
     std::optional<std::string> organisationOfKey(std::string_view key) const;
 
-    // Whether the key with this digest is still granted. Lets long-running requests recheck their
-    // key after a change of the configuration.
-    bool isGranted(std::string_view digest) const;
+    // Whether the key with this digest is still granted to the organisation. Lets long-running
+    // requests recheck their key after a change of the configuration.
+    bool isGranted(std::string_view digest, std::string_view organisation) const;
 
     // Return nullptr if there is no such entry.
     const configuration::v1::Route *route(std::string_view name) const;
--- a/gentianplank/daemon/entry/request_authoriser.cc
+++ b/gentianplank/daemon/entry/request_authoriser.cc
@@ -100,7 +100,8 @@
     }
     if (!mayContinue(authorised, after)) {
         return notRun(Reason::KeyRefused,
-                      "the key was withdrawn while the request waited for its rate");
+                      "the key was withdrawn or moved to another organisation while the request "
+                      "waited for its rate");
     }
     return authorised;
 }
@@ -111,7 +112,7 @@
         return false;
     }
     return request.keyDigest.empty() ||
-           m_fleetState.configuration.get()->isGranted(request.keyDigest);
+           m_fleetState.configuration.get()->isGranted(request.keyDigest, request.organisation);
 }
 
 std::shared_ptr<void> RequestAuthoriser::watch(const AuthorisedRequest &request,
--- a/gentianplank/daemon/entry/request_authoriser.h
+++ b/gentianplank/daemon/entry/request_authoriser.h
@@ -22,7 +22,8 @@
 {
     std::string organisation;
     std::string group;
-    // The digest of the caller's key, which must stay granted while the request runs. Empty for a
+    // The digest of the caller's key, which must stay granted to the organisation while the request
+    // runs. Empty for a
     // request without a key, on a route open to all.
     std::string keyDigest;
 };
@@ -44,7 +45,7 @@
                                                        Instant deadline = Instant::max()) const;
 
     // Whether an authorised request may continue: the VM holds its membership lease and the key is
-    // still granted.
+    // still granted to the request's organisation.
     bool mayContinue(const AuthorisedRequest &request, Instant now) const;
 
     // Registers a request that may be idle or blocked. When it may no longer continue,
--- a/gentianplank/daemon/fleet_test.cc
+++ b/gentianplank/daemon/fleet_test.cc
@@ -24,6 +24,16 @@
     return operations;
 }
 
+// Grants the test key to another organisation.
+std::vector<configuration::v1::Operation> moveTestKey()
+{
+    std::vector<configuration::v1::Operation> operations(2);
+    operations[0].mutable_put_organisation()->set_name("other-co");
+    operations[1].mutable_grant_key()->set_digest(keyDigest(TestKey));
+    operations[1].mutable_grant_key()->set_organisation("other-co");
+    return operations;
+}
+
 admin::v1::ChangeRequest rateChange(const std::string &operatorName, uint32_t rate,
                                     uint64_t expectedRevision)
 {
@@ -137,6 +147,18 @@
     BOOST_TEST((steadyNow() - start < WithdrawnKeyLimit));
 }
 
+// Guards against a transaction that goes on for the organisation that had its key before.
+BOOST_AUTO_TEST_CASE(movedKeyEndsIdleTransaction)
+{
+    FleetFixture fleet;
+    IdleTransaction transaction(fleet.settings(1).listen.callers);
+    BOOST_REQUIRE(transaction.isOpen());
+    const Instant start = steadyNow();
+    BOOST_REQUIRE(fleet.change(0, moveTestKey()).has_value());
+    transaction.waitForEnd();
+    BOOST_TEST((steadyNow() - start < WithdrawnKeyLimit));
+}
+
 BOOST_AUTO_TEST_CASE(withdrawnKeyEndsOpenPull)
 {
     FleetOptions options;
