Own interface: a statement that waited runs only for the holder of its key

What callers saw: at gentianplankd, a statement that waited for a slot or a primary, at its own VM or at a dispatcher, ran up to its deadline later (10 s, at most 10 min) for an organisation whose key had been withdrawn or moved. Cause: the key was checked before the statement was dispatched and not again. Change: statements carry the digest of their key and the revision that they were checked by, also between VMs; DispatchContext::admit, through which all statements and transactions get their slot, checks them when the slot is free. The later of both configurations decides, as on the platform's interface. Result: without the check all three tests of statement_dispatcher_test fail; with it they pass.

--- a/gentianplank/daemon/entry/caller_service.cc
+++ b/gentianplank/daemon/entry/caller_service.cc
@@ -230,6 +230,8 @@
         AcceptedRequest accepted{std::move(*authorised), std::move(*session), {}};
         StatementRequest &statement = accepted.statement;
         statement.organisation = accepted.authorised.organisation;
+        statement.keyDigest = accepted.authorised.keyDigest;
+        statement.revision = accepted.authorised.revision;
         statement.group = accepted.authorised.group;
         statement.requestId = scopedRequestId(accepted, request.request_id());
         statement.statement = request.statement();
--- a/gentianplank/daemon/entry/peer_runner.cc
+++ b/gentianplank/daemon/entry/peer_runner.cc
@@ -160,6 +160,8 @@
 void toWire(const StatementRequest &request, vm::v1::ForwardRequest *wire)
 {
     wire->set_organisation(request.organisation);
+    wire->set_key_digest(request.keyDigest);
+    wire->set_revision(request.revision);
     wire->set_group(request.group);
     wire->set_request_id(request.requestId);
     *wire->mutable_statement() = request.statement;
@@ -178,6 +180,8 @@
 {
     StatementRequest request;
     request.organisation = wire.organisation();
+    request.keyDigest = wire.key_digest();
+    request.revision = wire.revision();
     request.group = wire.group();
     request.requestId = wire.request_id();
     request.statement = wire.statement();
--- a/gentianplank/daemon/entry/request_authoriser.cc
+++ b/gentianplank/daemon/entry/request_authoriser.cc
@@ -70,6 +70,7 @@
     const auto configuration = m_fleetState.configuration.get();
     const configuration::v1::Route *configuredRoute = configuration->route(route);
     AuthorisedRequest authorised;
+    authorised.revision = configuration->revision();
     if (!key.empty()) {
         const auto organisation = configuration->organisationOfKey(key);
         if (!organisation) {
--- a/gentianplank/daemon/entry/request_authoriser.h
+++ b/gentianplank/daemon/entry/request_authoriser.h
@@ -26,6 +26,8 @@
     // runs. Empty for a
     // request without a key, on a route open to all.
     std::string keyDigest;
+    // The revision of the configuration that the request was checked by.
+    uint64_t revision = 0;
 };
 
 // Thread-safe.
--- a/gentianplank/statement/dispatch_context.cc
+++ b/gentianplank/statement/dispatch_context.cc
@@ -16,6 +16,14 @@
     return std::max<size_t>(1, view.connections / 2);
 }
 
+// Whether the statement may still run for its organisation: by this VM's configuration, or by that
+// of the entry VM if it is later.
+bool isAuthorised(const StatementRequest &request, const ConfigurationView &configuration)
+{
+    return request.keyDigest.empty() || configuration.revision() < request.revision ||
+           configuration.isGranted(request.keyDigest, request.organisation);
+}
+
 } // namespace
 
 tl::expected<AdmissionTicket, Refusal> DispatchContext::admit(const StatementRequest &request,
@@ -23,10 +31,16 @@
                                                               const std::string &member,
                                                               Instant until) const
 {
-    const auto configuration = parts.configuration();
-    return parts.admission.acquireSlot({view.group + "/" + member, request.organisation,
-                                        configuration->weightOf(request.organisation), 1, until},
-                                       view.slots);
+    auto ticket = parts.admission.acquireSlot(
+        {view.group + "/" + member, request.organisation,
+         parts.configuration()->weightOf(request.organisation), 1, until},
+        view.slots);
+    if (ticket && !isAuthorised(request, *parts.configuration())) {
+        return tl::unexpected(refuse(Reason::KeyRefused, ExecutionOutcome::NotRun,
+                                     "the key was withdrawn or moved to another organisation while "
+                                     "the statement waited"));
+    }
+    return ticket;
 }
 
 tl::expected<ConnectionLease, MemberError>
--- a/gentianplank/statement/dispatch_context.h
+++ b/gentianplank/statement/dispatch_context.h
@@ -21,7 +21,8 @@
         : parts(std::move(from))
     {}
 
-    // Waits for a slot of the member until `until`.
+    // Waits for a slot of the member until `until`. Refuses a statement whose key was withdrawn or
+    // moved meanwhile.
     tl::expected<AdmissionTicket, Refusal> admit(const StatementRequest &request,
                                                  const GroupView &view, const std::string &member,
                                                  Instant until) const;
--- /dev/null
+++ b/gentianplank/statement/dispatcher_test.cc
@@ -0,0 +1,190 @@
+#include "gentianplank/statement/dispatcher.h"
+
+#include "gentianplank/base/digest.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <future>
+#include <mutex>
+#include <thread>
+
+using namespace gentianplank;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr char Key[] = "moving";
+
+// A member that answers nothing while it is held.
+struct FakeMember
+{
+    std::mutex held;
+    std::atomic<int> calls{0};
+};
+
+class FakeConnection : public MemberConnection
+{
+public:
+    explicit FakeConnection(FakeMember &member)
+        : m_member(member)
+    {}
+
+    tl::expected<target::v1::Done, MemberError> call(target::v1::MemberRequest /*request*/,
+                                                     Instant /*deadline*/) override
+    {
+        ++m_member.calls;
+        const std::lock_guard lock(m_member.held);
+        target::v1::Done done;
+        done.set_idle(true);
+        return done;
+    }
+
+    tl::expected<common::v1::AnswerEnd, MemberError> pull(target::v1::MemberRequest /*request*/,
+                                                          const ChunkSink & /*sink*/,
+                                                          Instant /*deadline*/) override
+    {
+        return tl::unexpected(MemberError{});
+    }
+
+    bool isUsable() const override { return true; }
+
+private:
+    FakeMember &m_member;
+};
+
+class FakeConnector : public MemberConnector
+{
+public:
+    explicit FakeConnector(FakeMember &member)
+        : m_member(member)
+    {}
+
+    tl::expected<std::unique_ptr<MemberConnection>, MemberError>
+    connect(const std::string & /*address*/, Instant /*deadline*/) override
+    {
+        return std::make_unique<FakeConnection>(m_member);
+    }
+
+private:
+    FakeMember &m_member;
+};
+
+// Returns a configuration in which the organisation has the key, or nobody if it is empty.
+std::shared_ptr<const ConfigurationView> configurationOf(uint64_t revision,
+                                                         const std::string &holder)
+{
+    ConfigurationDocument document;
+    document.set_revision(revision);
+    if (!holder.empty()) {
+        configuration::v1::KeyGrant *grant = document.add_keys();
+        grant->set_digest(keyDigest(Key));
+        grant->set_organisation(holder);
+    }
+    return std::make_shared<const ConfigurationView>(std::move(document));
+}
+
+// A dispatcher for a group of one member with one slot.
+struct Fixture
+{
+    Fixture()
+    {
+        configuration::v1::Target target;
+        target.set_group("g");
+        target.set_slots(1);
+        target.set_connections(4);
+        configuration::v1::Member *it = target.add_members();
+        it->set_name("m");
+        it->set_address("m:1");
+        it->set_zone("a");
+        it->set_region("r");
+        auto view = std::make_shared<GroupView>(makeGroupView(target));
+        MemberReport report;
+        report.member = "m";
+        report.role = Role::Primary;
+        report.position = {1, 1};
+        report.receivedAt = steadyNow();
+        applyReport(*view, report);
+        groups.publish(std::move(view));
+    }
+
+    StatementRequest read(const std::string &organisation, uint64_t revision) const
+    {
+        StatementRequest request;
+        request.organisation = organisation;
+        request.keyDigest = keyDigest(Key);
+        request.revision = revision;
+        request.group = "g";
+        request.requestId = organisation + "/1";
+        request.statement.set_read_only(true);
+        request.deadline = steadyNow() + 5s;
+        return request;
+    }
+
+    // Runs a read that waits for the slot of another one while the key moves to `holder`.
+    tl::expected<StatementAnswer, Refusal> readWhileKeyMoves(const std::string &holder)
+    {
+        std::unique_lock lock(member.held);
+        auto first =
+            std::async(std::launch::async, [&] { return dispatcher.execute(read("t1", 7)); });
+        while (member.calls == 0) {
+            std::this_thread::sleep_for(1ms);
+        }
+        auto second =
+            std::async(std::launch::async, [&] { return dispatcher.execute(read("t1", 7)); });
+        while (admission.waiting("g/m") == 0) {
+            std::this_thread::sleep_for(1ms);
+        }
+        setConfiguration(configurationOf(8, holder));
+        lock.unlock();
+        BOOST_TEST(first.get().has_value());
+        return second.get();
+    }
+
+    void setConfiguration(std::shared_ptr<const ConfigurationView> configuration)
+    {
+        const std::lock_guard lock(mutex);
+        current = std::move(configuration);
+    }
+
+    FakeMember member;
+    FakeConnector connector{member};
+    GroupViewRegistry groups;
+    ConnectionPool pool{connector};
+    Admission admission{10};
+    std::mutex mutex;
+    std::shared_ptr<const ConfigurationView> current = configurationOf(7, "t1");
+    Dispatcher dispatcher{{groups, pool, admission, {"a", "r"}, [this] {
+                               const std::lock_guard lock(mutex);
+                               return current;
+                           }}};
+};
+
+} // namespace
+
+// Guards against a statement that waits for a slot and then runs for the organisation that had its
+// key before.
+BOOST_FIXTURE_TEST_CASE(waitingStatementDoesNotRunForFormerOrganisation, Fixture)
+{
+    const auto moved = readWhileKeyMoves("t2");
+    BOOST_REQUIRE(!moved.has_value());
+    BOOST_TEST((moved.error().reason == Reason::KeyRefused));
+    BOOST_TEST((moved.error().outcome == ExecutionOutcome::NotRun));
+    BOOST_TEST(member.calls == 1);
+}
+
+// Guards against the same with a withdrawn key.
+BOOST_FIXTURE_TEST_CASE(waitingStatementDoesNotRunAfterItsKeyIsWithdrawn, Fixture)
+{
+    BOOST_TEST(!readWhileKeyMoves("").has_value());
+    BOOST_TEST(member.calls == 1);
+}
+
+// Guards against refusals by a dispatcher whose configuration is older than the entry VM's, and of
+// statements that wait while other things change.
+BOOST_FIXTURE_TEST_CASE(laterConfigurationDecides, Fixture)
+{
+    BOOST_TEST(readWhileKeyMoves("t1").has_value());
+    BOOST_TEST(dispatcher.execute(read("t2", 9)).has_value());
+    BOOST_TEST(!dispatcher.execute(read("t2", 8)).has_value());
+}
--- a/gentianplank/statement/statement.h
+++ b/gentianplank/statement/statement.h
@@ -26,6 +26,11 @@
 struct StatementRequest
 {
     std::string organisation;
+    // The digest of the caller's key, which must be granted to the organisation when the statement
+    // is sent, and the revision of the configuration that the checks were made by. Empty without a
+    // key.
+    std::string keyDigest;
+    uint64_t revision = 0;
     std::string group;
     // Unique for each logical request, and the same for its retries; never empty for a write.
     std::string requestId;
