Organisations whose name members can't tell from others hold no keys

What callers would see: an organisation named "-" shared connections, transactions and the queue's share with callers without an organisation, so that its withdrawn key's transaction on a route open to all could go on. A name with a blank would put further words into the line that starts a connection. Cause: "-" stands for callers without an organisation, and names were not checked. Ruled out: refusing the whole configuration, which would keep withdrawn keys in force; a type for callers without an organisation, as members are told a word. An organisation that is removed and added again under its name with other keys needs nothing: members know it by its name only, and the keys decide. Change: decodeConfiguration leaves such organisations out and lists them; "configuration.unusable_organisation" says so. Result: organisationWithoutUsableNameHoldsNoKeys fails to compile before, since it looks at the new list; sameNameWithOtherKeysIsNotTheHolder passes.

--- a/gentianplank/configuration/routing.h
+++ b/gentianplank/configuration/routing.h
@@ -91,6 +91,8 @@
     // By keyFingerprint().
     std::unordered_map<uint64_t, std::string> organisationByFingerprint;
     SessionLimits limits;
+    // Names of organisations that members can't be told. Their keys are unknown.
+    std::vector<std::string> unusableOrganisations;
 
     // Return nullptr if there is none.
     const DatabaseRoute *routeOf(std::string_view database) const;
--- a/gentianplank/node/control/control_store.cc
+++ b/gentianplank/node/control/control_store.cc
@@ -217,6 +217,12 @@
                                             {"row_version", toString(row.version)},
                                             {"routes", routing->routes.size()},
                                             {"organisations", routing->organisations.size()}});
+        for (const std::string &name : routing->unusableOrganisations) {
+            logEvent("configuration.unusable_organisation",
+                     {{"revision", routing->revision},
+                      {"organisation", name},
+                      {"why", "members read it as several words, or as callers without one"}});
+        }
         if (const auto disjoint = findDisjointHomes(*routing)) {
             logEvent("configuration.disjoint_homes", {{"revision", routing->revision},
                                                       {"database", disjoint->database},
--- a/gentianplank/node/traffic/authority_test.cc
+++ b/gentianplank/node/traffic/authority_test.cc
@@ -206,6 +206,17 @@
     });
 }
 
+// Guards against an organisation that was removed and added again under its name, with other keys,
+// and is taken for the holder of the former ones.
+BOOST_AUTO_TEST_CASE(sameNameWithOtherKeysIsNotTheHolder)
+{
+    Routing routing;
+    routing.revision = 8;
+    addOrganisation(routing, {"t1", {"another"}, 100, 100});
+    BOOST_TEST((authorityOf(&routing, statementOf("t1", 7)) == Authority::Superseded));
+    BOOST_TEST((authorityOf(&routing, statementOf("t1", 7, "another")) == Authority::Confirmed));
+}
+
 // Guards against decisions that are lost between VMs.
 BOOST_AUTO_TEST_CASE(decisionIsSentToDispatcher)
 {
--- a/gentianplank/platform/documents.cc
+++ b/gentianplank/platform/documents.cc
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace gentianplank::platform {
 
 namespace {
@@ -12,6 +14,7 @@
 
 // Of routes and tenants.
 constexpr char HomeRegionsField[] = "home-regions";
+constexpr unsigned char DeleteCharacter = 0x7f;
 
 Duration milliseconds(const Json &value)
 {
@@ -52,6 +55,14 @@
     return route;
 }
 
+// Whether a member reads the name as one word of the line that starts a connection.
+bool isOneWord(std::string_view name)
+{
+    return !name.empty() && std::none_of(name.begin(), name.end(), [](unsigned char it) {
+        return it <= ' ' || it == DeleteCharacter;
+    });
+}
+
 OrganisationLimits decodeOrganisation(const Json &json)
 {
     OrganisationLimits organisation;
@@ -85,7 +96,12 @@
             routing.groups[group.name] = group;
         }
         for (const Json &it : json.value("tenants", Json::array())) {
-            addOrganisation(routing, decodeOrganisation(it));
+            OrganisationLimits organisation = decodeOrganisation(it);
+            if (isOneWord(organisation.name) && organisation.name != AnonymousOrganisation) {
+                addOrganisation(routing, std::move(organisation));
+            } else {
+                routing.unusableOrganisations.push_back(std::move(organisation.name));
+            }
         }
         const Json limits = json.value("limits", Json::object());
         if (limits.contains("header-timeout-ms")) {
--- a/gentianplank/platform/documents_test.cc
+++ b/gentianplank/platform/documents_test.cc
@@ -52,6 +52,22 @@
     BOOST_TEST(!decodeConfiguration("{"));
 }
 
+// Guards against an organisation that members can't tell from callers without one, or whose name
+// would be read as further words of the line that starts a connection.
+BOOST_AUTO_TEST_CASE(organisationWithoutUsableNameHoldsNoKeys)
+{
+    for (const std::string name : {"-", "", "a b", "org i-7f3a91c2", "a\\tb", "a\\r\\nSTART"}) {
+        const auto routing = decodeConfiguration(
+            withReplacement(Configuration, R"("name":"org")", R"("name":")" + name + '"'));
+        BOOST_REQUIRE(routing);
+        BOOST_TEST(routing->organisationOfKey("k1") == nullptr);
+        BOOST_TEST(routing->organisations.empty());
+        BOOST_TEST(routing->unusableOrganisations.size() == 1U);
+        BOOST_TEST(routing->routes.size() == 2U);
+    }
+    BOOST_TEST(decodeConfiguration(Configuration)->unusableOrganisations.empty());
+}
+
 // Guards against home regions that are read from one of their two places only, or whose malformed
 // list is taken for an empty one, which permits every region.
 BOOST_AUTO_TEST_CASE(homeRegionsAreDecoded)
