Test that an explanation names the organisation that statements run for

Cause: no test compared the two while a key moves. Both take the organisation from organisationOfCaller and the same configuration since. Change: explanationFollowsTheKey on two real VMs. Result: passes; no fault found.

--- a/gentianplank/node/explain_entry_test.cc
+++ b/gentianplank/node/explain_entry_test.cc
@@ -9,6 +9,9 @@
 
 namespace {
 
+// The beginning of the BLAKE2b-256 digest of "moving".
+constexpr char MovingKeyDigest[] = "ba45f31c0d";
+
 HttpResponse get(const std::string &address, const std::string &target)
 {
     boost::asio::io_context context;
@@ -58,3 +61,48 @@
     BOOST_TEST(metrics.find("gentianplank_bytes_by_distance_total{distance=\"other_region\"} 0") !=
                std::string::npos);
 }
+
+// Guards against an explanation that names another organisation than the one that statements run
+// for, while a key moves.
+BOOST_FIXTURE_TEST_CASE(explanationFollowsTheKey, EntryFixture)
+{
+    // The organisations are in the first configuration of the VMs, so that they have tokens at
+    // once.
+    first = nullptr;
+    second = nullptr;
+    const std::vector<DocumentOrganisation> initial{{"t1", {"k1", "moving"}}, {"t2", {"k2"}}};
+    store.put("op", "config", configurationOf(2, initial));
+    first = std::make_unique<Vm>("vm-1", "a", store);
+    second = std::make_unique<Vm>("vm-2", "b", store);
+    awaitService(first->callerAddress());
+    const std::string target = "/explain?database=main&format=json&kind=write&key-digest=";
+    const auto explained = [&] {
+        const auto json =
+            nlohmann::json::parse(get(first->readyAddress(), target + MovingKeyDigest).body);
+        for (const auto &it : json.at("checks")) {
+            if (it.at("check") == "organisation") {
+                return it.at("inputs").at("organisation").get<std::string>();
+            }
+        }
+        return std::string();
+    };
+    for (int version = 3; version < 9; ++version) {
+        std::vector<DocumentOrganisation> organisations{{"t1", {"k1"}}, {"t2", {"k2"}}};
+        DocumentOrganisation &holder = organisations[version % 2];
+        holder.keys.emplace_back("moving");
+        store.put("op", "config", configurationOf(version, organisations));
+        std::string ran;
+        const auto end = std::chrono::steady_clock::now() + 5s;
+        while (ran != holder.name && std::chrono::steady_clock::now() < end) {
+            const std::string before = explained();
+            Caller caller(first->callerAddress());
+            caller.firstLine("START main moving");
+            if (caller.firstLine("QUERY q1 WRITE a 1").starts_with("DONE")) {
+                ran = group.runs().back().organisation;
+                const std::string after = explained();
+                BOOST_TEST((ran == before || ran == after));
+            }
+        }
+        BOOST_TEST(ran == holder.name);
+    }
+}
