Own interface: organisations don't share request ids

What callers would see: a repeated write answered with the recorded answer of another organisation's, and not run: request ids are recorded as "ORGANISATION/ID", so "a/b" with the id "c" and "a" with "b/c" are the same. A key that is granted to "open" shares ids with requests without a key. Cause: names of organisations were not checked against the separator, and "open" could hold keys. Ruled out: another encoding of the ids, since a retry that crosses the update of the VMs would run twice. Change: validateDocument refuses both; a stored document that has one is changed again once the organisation or the grant is removed. Result: organisationsDontShareRequestIds fails before with both checks.

--- a/gentianplank/configuration/change.cc
+++ b/gentianplank/configuration/change.cc
@@ -186,6 +186,10 @@
         if (it.digest().size() != DigestBytes) {
             errors.emplace_back("a key digest isn't 32 bytes long");
         }
+        if (it.organisation() == OpenOrganisation) {
+            errors.push_back("a key is granted to '" + it.organisation() +
+                             "', the organisation of requests without a key");
+        }
         if (!organisations.contains(it.organisation())) {
             errors.push_back("a key is granted to the unknown organisation '" + it.organisation() +
                              "'");
@@ -239,6 +243,10 @@
         if (it.name().empty()) {
             errors.emplace_back("an organisation has no name");
         }
+        if (it.name().find(RequestIdSeparator) != std::string::npos) {
+            errors.push_back("organisation '" + it.name() + "' must not contain '" +
+                             RequestIdSeparator + "', which ends its name in request ids");
+        }
         organisations.insert(it.name());
     }
     validateTargets(document, errors);
--- a/gentianplank/configuration/change.h
+++ b/gentianplank/configuration/change.h
@@ -10,10 +10,17 @@
 
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace gentianplank {
 
+// The organisation of requests without a key, on routes that are open to all. It may be configured
+// to set their rate, and holds no keys.
+inline constexpr std::string_view OpenOrganisation = "open";
+// Ends the organisation's name in the request ids that are recorded by groups.
+inline constexpr char RequestIdSeparator = '/';
+
 using ConfigurationDocument = configuration::v1::Document;
 using ConfigurationOperation = configuration::v1::Operation;
 using ConfigurationChange = configuration::v1::Change;
--- a/gentianplank/configuration/change_test.cc
+++ b/gentianplank/configuration/change_test.cc
@@ -40,6 +40,17 @@
     BOOST_TEST(applied.error().size() == 5U);
 }
 
+// Guards against organisations that share request ids, and so the recorded answers of repeated
+// writes: "a/b" with the id "c" and "a" with "b/c", or a key's organisation and requests without a
+// key.
+BOOST_AUTO_TEST_CASE(organisationsDontShareRequestIds)
+{
+    BOOST_TEST(!applyOperations({}, std::vector{putOrganisation("a/b")}).has_value());
+    const auto open = applyOperations({}, std::vector{putOrganisation("open")});
+    BOOST_REQUIRE(open.has_value());
+    BOOST_TEST(!applyOperations(open->document, std::vector{grantKey("k", "open")}).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(entriesBeforeAndAfterChangeAreRecorded)
 {
     const auto first = applyOperations({}, std::vector{putOrganisation("dredge-co")});
--- a/gentianplank/configuration/view.h
+++ b/gentianplank/configuration/view.h
@@ -22,9 +22,6 @@
     bool operator==(const RateLimit &) const = default;
 };
 
-// The organisation of requests without a key, on routes that are open to all.
-inline constexpr std::string_view OpenOrganisation = "open";
-
 // Immutable, hence thread-safe.
 class ConfigurationView
 {
--- a/gentianplank/daemon/entry/caller_service.cc
+++ b/gentianplank/daemon/entry/caller_service.cc
@@ -203,7 +203,7 @@
     static std::string scopedRequestId(const AcceptedRequest &accepted,
                                        const std::string &requestId)
     {
-        return accepted.authorised.organisation + "/" +
+        return accepted.authorised.organisation + RequestIdSeparator +
                (requestId.empty() ? randomRequestId() : requestId);
     }
 
