Tests of what else lives on a member's connection

Cause: no test bounded the statements prepared on one connection, or handed a connection on while its rollback was under way. Change: connectionKeepsFewPreparedStatements, connectionIsHandedOnAfterItsRollback; the stand-in group counts prepared statements.

--- a/gentianplank/node/traffic/member_dispatcher_test.cc
+++ b/gentianplank/node/traffic/member_dispatcher_test.cc
@@ -424,6 +424,51 @@
     BOOST_TEST(openedConnections == 1);
 }
 
+// Guards against a connection that collects prepared statements without end, since the sessions of
+// an organisation that use it bring their own.
+BOOST_FIXTURE_TEST_CASE(connectionKeepsFewPreparedStatements, Fixture)
+{
+    for (uint64_t i = 0; i < 410; ++i) {
+        ForwardedStatement it = statement(i, "a", ForwardKind::Read);
+        it.prepared = PreparedStatement{false, "shape-" + std::to_string(i)};
+        BOOST_TEST(!run(it).code);
+    }
+    BOOST_TEST(openedConnections == 1);
+    BOOST_TEST(group.preparedStatements(0) <= 200U);
+}
+
+// Guards against a statement inside the transaction of another session, on a connection that is
+// handed on before its rollback has ended.
+BOOST_FIXTURE_TEST_CASE(connectionIsHandedOnAfterItsRollback, ScarceFixture)
+{
+    for (uint64_t round = 0; round < 5; ++round) {
+        // All connections that the dispatcher may open have a transaction.
+        for (uint64_t i = 0; i < 2; ++i) {
+            ForwardedStatement open = statement(10 * round + i, "WRITE a 1", ForwardKind::Write);
+            open.opensTransaction = true;
+            open.values = {{"v", "transaction"}};
+            BOOST_TEST(!run(open).code);
+        }
+        dispatcher->endTransactionsOfOrigin(1);
+        execute(statement(10 * round + 5, "WRITE b 1", ForwardKind::Write));
+        ForwardedStatement other = statement(10 * round + 6, "WRITE c 1", ForwardKind::Write);
+        other.organisation = "other";
+        execute(other);
+        awaitOutcomes();
+        for (const auto *it : {&outcomes[outcomes.size() - 2], &outcomes.back()}) {
+            BOOST_TEST(!(*it)->code);
+            BOOST_TEST(((*it)->state == TransactionState::Idle));
+        }
+        outcomes.clear();
+        const auto runs = group.runs();
+        BOOST_TEST(runs[runs.size() - 1].values.empty());
+        BOOST_TEST(runs[runs.size() - 2].values.empty());
+    }
+    BOOST_TEST(group.committed().count("a") == 0U);
+    BOOST_TEST(group.committed().count("b") == 1U);
+    BOOST_TEST(group.committed().count("c") == 1U);
+}
+
 // Guards against replica reads that wait until their deadline for a member that accepts connections
 // and hangs: they go to other members, with a report of what was seen.
 BOOST_FIXTURE_TEST_CASE(replicaReadsLeaveMemberThatHangs, Fixture)
--- a/gentianplank/standin/line_protocol_group.cc
+++ b/gentianplank/standin/line_protocol_group.cc
@@ -193,4 +193,14 @@
     return m_state->members[member].connections.size();
 }
 
+size_t LineProtocolGroup::preparedStatements(size_t member) const
+{
+    const std::lock_guard lock(m_state->mutex);
+    size_t most = 0;
+    for (const auto &it : m_state->members[member].connections) {
+        most = std::max(most, it->prepared.size());
+    }
+    return most;
+}
+
 } // namespace gentianplank
--- a/gentianplank/standin/line_protocol_group.h
+++ b/gentianplank/standin/line_protocol_group.h
@@ -79,6 +79,8 @@
     std::map<std::string, std::string> committed() const;
     // Returns the number of open connections of a member.
     size_t connections(size_t member) const;
+    // Returns the most statements that are prepared on one connection of a member.
+    size_t preparedStatements(size_t member) const;
 
 private:
     struct State;
