A session's memory is counted for the holder of its key

What callers saw: after a key had moved, its session's memory still counted for the former organisation, so that with little memory left a session of an organisation that used less was closed. A "refused" line of a statement that was refused before its organisation was known named that of the statement before. Cause: the account's owner was set at the session's START only; the session's field kept the last statement's organisation. Change: the owner is set when a statement's organisation differs from that of the last one; the field is empty until the organisation is decided.

--- a/gentianplank/node/traffic/caller_session_statements.cc
+++ b/gentianplank/node/traffic/caller_session_statements.cc
@@ -3,6 +3,7 @@
 #include "gentianplank/base/event_log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace gentianplank {
 
@@ -64,6 +65,9 @@
 // Checks the statement against the configuration and requests admission at the organisation's rate.
 void CallerSession::State::forward(const SessionStep &step, const TextStatement &statement)
 {
+    // Of the statement before, which a refusal must not name.
+    const std::string former = std::exchange(organisation, {});
+    hasTakenToken = false;
     const auto routing = environment.provenRouting();
     if (!routing) {
         rejectStatement(step, statement, ErrorCode::Busy,
@@ -86,7 +90,9 @@
         return;
     }
     organisation = *caller;
-    hasTakenToken = false;
+    if (organisation != former) {
+        memory.setOwner(holder == nullptr ? "" : holder->name, clientAddress);
+    }
     if (step.continuesTransaction && organisation != transactionOrganisation) {
         // The connection of the transaction was started for the former organisation.
         rejectStatement(step, statement, ErrorCode::Aborted,
