Test of a connection handed on: compare the answers themselves

Cause: connectionIsHandedOnAfterItsRollback passed on a scratch copy that hands the connection on at once: the answer to the reset was taken for the statement's. Change: the answers must be the member's own; a comment's line breaks.

--- a/gentianplank/daemon/entry/request_authoriser.h
+++ b/gentianplank/daemon/entry/request_authoriser.h
@@ -23,8 +23,7 @@
     std::string organisation;
     std::string group;
     // The digest of the caller's key, which must stay granted to the organisation while the request
-    // runs. Empty for a
-    // request without a key, on a route open to all.
+    // runs. Empty for a request without a key, on a route open to all.
     std::string keyDigest;
     // The revision of the configuration that the request was checked by.
     uint64_t revision = 0;
--- a/gentianplank/node/traffic/member_dispatcher_test.cc
+++ b/gentianplank/node/traffic/member_dispatcher_test.cc
@@ -457,6 +457,7 @@
         awaitOutcomes();
         for (const auto *it : {&outcomes[outcomes.size() - 2], &outcomes.back()}) {
             BOOST_TEST(!(*it)->code);
+            BOOST_TEST((*it)->lines.starts_with("DONE sig."));
             BOOST_TEST(((*it)->state == TransactionState::Idle));
         }
         outcomes.clear();
