Router: the repeated check stands with the other checks of authority

Change: reauthorise() in authority, callerOutcome() beside the routed statement; no change of behaviour.

--- a/gentianplank/node/traffic/authority.h
+++ b/gentianplank/node/traffic/authority.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "gentianplank/configuration/routing.h"
-#include "gentianplank/node/traffic/forwarded_statement.h"
+#include "gentianplank/node/traffic/routed_statement.h"
 
 #include <optional>
 
@@ -26,8 +26,13 @@
 // refused, so what is confirmed may be sent at once. Thread-safe.
 Authority authorityOf(const Routing *proven, const ForwardedStatement &statement);
 
-// Returns the outcome of a statement that may not run by this VM's configuration, or nullopt. The
-// entry VM decides anew, or another dispatcher has a proof. Thread-safe.
+// Decides again at the entry VM, before each attempt, whether the statement may run for its
+// organisation. Returns the outcome for its caller if it may not; otherwise records the revision
+// that it was decided by. Thread-safe.
+std::optional<StatementOutcome> reauthorise(const Routing *proven, RoutedStatement &request);
+
+// Returns the outcome of a statement that the dispatching VM may not run by its configuration, or
+// nullopt. The entry VM decides anew, or another dispatcher has a proof. Thread-safe.
 std::optional<StatementOutcome> authorityRefusal(const Routing *proven,
                                                  const ForwardedStatement &statement);
 
--- a/gentianplank/node/traffic/member_dispatcher_test.cc
+++ b/gentianplank/node/traffic/member_dispatcher_test.cc
@@ -424,8 +424,7 @@
     BOOST_TEST(openedConnections == 1);
 }
 
-// Guards against a connection that collects prepared statements without end, since the sessions of
-// an organisation that use it bring their own.
+// Guards against a connection that collects the prepared statements of all sessions that use it.
 BOOST_FIXTURE_TEST_CASE(connectionKeepsFewPreparedStatements, Fixture)
 {
     for (uint64_t i = 0; i < 410; ++i) {
@@ -442,7 +441,6 @@
 BOOST_FIXTURE_TEST_CASE(connectionIsHandedOnAfterItsRollback, ScarceFixture)
 {
     for (uint64_t round = 0; round < 5; ++round) {
-        // All connections that the dispatcher may open have a transaction.
         for (uint64_t i = 0; i < 2; ++i) {
             ForwardedStatement open = statement(10 * round + i, "WRITE a 1", ForwardKind::Write);
             open.opensTransaction = true;
--- a/gentianplank/node/traffic/routed_statement.cc
+++ b/gentianplank/node/traffic/routed_statement.cc
@@ -33,4 +33,26 @@
             request.deadline - now, false};
 }
 
+StatementOutcome callerOutcome(const ForwardedStatement &statement, StatementOutcome outcome)
+{
+    const bool inTransaction = statement.continuesTransaction || statement.opensTransaction;
+    if (outcome.execution == StatementExecution::Answered) {
+        return outcome;
+    }
+    if (outcome.execution == StatementExecution::Unknown && statement.kind != ForwardKind::Commit) {
+        if (inTransaction) {
+            // The commit was never sent, so the member rolls the transaction back.
+            outcome.execution = StatementExecution::NotRun;
+            outcome.code = ErrorCode::Aborted;
+        }
+    }
+    if (outcome.execution == StatementExecution::NotRun && inTransaction) {
+        outcome.code = ErrorCode::Aborted;
+    }
+    outcome.state = inTransaction && statement.kind != ForwardKind::Commit
+                        ? TransactionState::Failed
+                        : TransactionState::Idle;
+    return outcome;
+}
+
 } // namespace gentianplank
--- a/gentianplank/node/traffic/routed_statement.h
+++ b/gentianplank/node/traffic/routed_statement.h
@@ -40,4 +40,7 @@
 // Returns what the adaptive zone policy has to know of the statement. Thread-safe.
 ZoneRequest zoneRequestOf(const RoutedStatement &request, Instant now);
 
+// Converts the outcome of a statement's last attempt into the one for its caller. Thread-safe.
+StatementOutcome callerOutcome(const ForwardedStatement &statement, StatementOutcome outcome);
+
 } // namespace gentianplank
--- a/gentianplank/node/traffic/statement_router.cc
+++ b/gentianplank/node/traffic/statement_router.cc
@@ -1,6 +1,7 @@
 #include "gentianplank/node/traffic/statement_router.h"
 
 #include "gentianplank/base/event_log.h"
+#include "gentianplank/node/traffic/authority.h"
 #include "gentianplank/node/traffic/member_health_monitor.h"
 #include "gentianplank/node/traffic/member_selection.h"
 
@@ -28,7 +29,6 @@
 // Retry delays reported to callers.
 constexpr Duration MinRetryAfter = std::chrono::milliseconds(50);
 constexpr Duration NoPrimaryRetryAfter = std::chrono::milliseconds(300);
-constexpr Duration UnprovenRetryAfter = std::chrono::seconds(1);
 
 // A statement being routed.
 struct PendingStatement
@@ -55,7 +55,6 @@
 struct StatementRouter::State : std::enable_shared_from_this<StatementRouter::State>
 {
     void attempt(const PendingStatementPointer &pending);
-    std::optional<StatementOutcome> authoriseAgain(PendingStatement &pending) const;
     AttemptPlan plan(const PendingStatement &pending);
     void attemptPrimary(const PendingStatementPointer &pending, const AttemptPlan &plan);
     void attemptRead(const PendingStatementPointer &pending, const AttemptPlan &plan);
@@ -79,8 +78,6 @@
     void enqueueForRetry(const PendingStatementPointer &pending, const std::string &reason);
     bool tryElsewhere(const PendingStatementPointer &pending, RoutedOutcome answer);
     static void finish(const PendingStatement &pending, RoutedOutcome outcome);
-    static StatementOutcome callerOutcome(const PendingStatement &pending,
-                                          StatementOutcome outcome);
 
     Place ownPlace;
     RouterEnvironment environment;
@@ -94,17 +91,21 @@
 void StatementRouter::State::attempt(const PendingStatementPointer &pending)
 {
     const RoutedStatement &request = pending->request;
-    if (auto refusal = authoriseAgain(*pending)) {
-        finish(*pending, {callerOutcome(*pending, std::move(*refusal)), "", "", 0});
-        return;
+    if (environment.provenRouting) {
+        if (auto refusal = reauthorise(environment.provenRouting().get(), pending->request)) {
+            finish(*pending,
+                   {callerOutcome(pending->request.statement, std::move(*refusal)), "", "", 0});
+            return;
+        }
     }
     if (request.statement.continuesTransaction) {
         if (!mayContinueTransaction(*environment.view(), homesOf(request), request.statement.member,
                                     request.pinnedVm, environment.ownName)) {
-            pending->done({callerOutcome(*pending, notRun(ErrorCode::Aborted,
-                                                          "the transaction's member is outside the "
+            pending->done(
+                {callerOutcome(pending->request.statement,
+                               notRun(ErrorCode::Aborted, "the transaction's member is outside the "
                                                           "home regions")),
-                           "", "", 0});
+                 "", "", 0});
             return;
         }
         sendTo(pending, request.pinnedVm, request.statement.member, request.statement.epoch);
@@ -118,35 +119,6 @@
     }
 }
 
-// Checks by the configuration in force that the statement may run for its organisation. Returns the
-// refusal, if the key was withdrawn or moved while the statement waited.
-std::optional<StatementOutcome>
-StatementRouter::State::authoriseAgain(PendingStatement &pending) const
-{
-    if (!environment.provenRouting) {
-        return std::nullopt;
-    }
-    const auto routing = environment.provenRouting();
-    ForwardedStatement &statement = pending.request.statement;
-    if (!routing) {
-        return notRun(ErrorCode::Busy, "no configuration is proven to be in force on this VM",
-                      UnprovenRetryAfter);
-    }
-    if (holdsKey(*routing, statement.organisation, statement.keyFingerprint)) {
-        statement.revision = routing->revision;
-        return std::nullopt;
-    }
-    const DatabaseRoute *route = routing->routeOf(pending.request.origin.database);
-    const bool isPublic = route != nullptr && route->isPublic;
-    if (isPublic || !holdsKey(*routing, AnonymousOrganisation, statement.keyFingerprint)) {
-        return notRun(ErrorCode::Busy,
-                      "the API key's organisation changed while the statement waited",
-                      MinRetryAfter);
-    }
-    return notRun(ErrorCode::NoAuthorisation,
-                  "the API key was withdrawn while the statement waited");
-}
-
 AttemptPlan StatementRouter::State::plan(const PendingStatement &pending)
 {
     AttemptPlan plan;
@@ -249,7 +221,7 @@
                                           bool needsPrimary, const std::string &reason)
 {
     if (auto refusal = lastingRefusal(assessed, needsPrimary)) {
-        pending->done({callerOutcome(*pending, std::move(*refusal)), "", "", 0});
+        pending->done({callerOutcome(pending->request.statement, std::move(*refusal)), "", "", 0});
         return;
     }
     enqueueForRetry(pending, reason);
@@ -268,11 +240,11 @@
     const Instant now = steadyNow();
     ForwardedStatement &statement = pending->request.statement;
     if (now >= pending->request.deadline) {
-        finish(*pending,
-               {callerOutcome(*pending, notRun(ErrorCode::Busy,
+        finish(*pending, {callerOutcome(pending->request.statement,
+                                        notRun(ErrorCode::Busy,
                                                "deadline exceeded before the statement was sent",
                                                MinRetryAfter)),
-                vm, member, epoch});
+                          vm, member, epoch});
         return;
     }
     ++pending->attempts;
@@ -314,7 +286,8 @@
     const bool hasBetterAnswer =
         pending->firstAnswer && outcome.code != ErrorCode::Lagging && !outcome.isUnreachable;
     if (statement.continuesTransaction || !outcome.code || hasBetterAnswer) {
-        finish(*pending, {callerOutcome(*pending, std::move(outcome)), vm, member, epoch});
+        finish(*pending,
+               {callerOutcome(pending->request.statement, std::move(outcome)), vm, member, epoch});
         return;
     }
     pending->lastReason = outcome.reason;
@@ -371,7 +344,8 @@
         }
         break;
     }
-    finish(*pending, {callerOutcome(*pending, std::move(outcome)), vm, member, epoch});
+    finish(*pending,
+           {callerOutcome(pending->request.statement, std::move(outcome)), vm, member, epoch});
 }
 
 void StatementRouter::State::retryOrReject(const PendingStatementPointer &pending, Duration delay,
@@ -387,7 +361,8 @@
         isRetryPointless) {
         StatementOutcome rejection =
             notRun(ErrorCode::Busy, outcome.reason, std::max(outcome.retryAfter, MinRetryAfter));
-        finish(*pending, {callerOutcome(*pending, std::move(rejection)), "", "", 0});
+        finish(*pending,
+               {callerOutcome(pending->request.statement, std::move(rejection)), "", "", 0});
         return;
     }
     if (delay <= Duration::zero()) {
@@ -445,31 +420,6 @@
     pending.done(std::move(outcome));
 }
 
-// Converts the outcome of the last attempt into the one for the caller.
-StatementOutcome StatementRouter::State::callerOutcome(const PendingStatement &pending,
-                                                       StatementOutcome outcome)
-{
-    const ForwardedStatement &statement = pending.request.statement;
-    const bool inTransaction = statement.continuesTransaction || statement.opensTransaction;
-    if (outcome.execution == StatementExecution::Answered) {
-        return outcome;
-    }
-    if (outcome.execution == StatementExecution::Unknown && statement.kind != ForwardKind::Commit) {
-        if (inTransaction) {
-            // The commit was never sent, so the member rolls the transaction back.
-            outcome.execution = StatementExecution::NotRun;
-            outcome.code = ErrorCode::Aborted;
-        }
-    }
-    if (outcome.execution == StatementExecution::NotRun && inTransaction) {
-        outcome.code = ErrorCode::Aborted;
-    }
-    outcome.state = inTransaction && statement.kind != ForwardKind::Commit
-                        ? TransactionState::Failed
-                        : TransactionState::Idle;
-    return outcome;
-}
-
 StatementRouter::StatementRouter(Place ownPlace, RouterEnvironment environment, ZoneOptions zones)
     : m_state(std::make_shared<State>())
 {
@@ -514,9 +464,9 @@
         }
         pending->isWaiting = false;
         if (now >= pending->request.deadline) {
-            State::finish(*pending, {State::callerOutcome(*pending, notRun(ErrorCode::Busy,
-                                                                           pending->lastReason,
-                                                                           NoPrimaryRetryAfter)),
+            State::finish(*pending, {callerOutcome(pending->request.statement,
+                                                   notRun(ErrorCode::Busy, pending->lastReason,
+                                                          NoPrimaryRetryAfter)),
                                      "", "", 0});
             continue;
         }
