Own interface: the key is checked again after the wait for a connection

What callers could see: at gentianplankd, a statement that had its slot and waited for a pooled connection to the member ran, up to its deadline, for the organisation that had held its key before. Cause: DispatchContext::admit checks the key after the wait for a slot. A VM uses half of a member's connections, and pulls hold connections without slots, so a second wait follows. Ruled out: requests for the outcome of a write, which run nothing; the connect itself, which comes before the check. Change: executeOnce checks the key when it has its connection, pulls likewise; ConnectionPool::waiting shows who waits. Result: with the old read_run, write_run and pull_run, waitForConnectionDoesNotRunForFormerOrganisation fails for a read (the read ran), it failed for a write as a case of its own, and pullWaitingForConnectionDoesNotRunForFormerOrganisation sends the pull (2 calls); all pass with the change.

--- a/gentianplank/statement/dispatch_context.cc
+++ b/gentianplank/statement/dispatch_context.cc
@@ -16,16 +16,38 @@
     return std::max<size_t>(1, view.connections / 2);
 }
 
-// Whether the statement may still run for its organisation: by this VM's configuration, or by that
-// of the entry VM if it is later.
-bool isAuthorised(const StatementRequest &request, const ConfigurationView &configuration)
+tl::expected<Done, MemberError> callOn(const GroupViewRegistry &groupViews, ConnectionLease &lease,
+                                       const std::string &group, const MemberRequest &request,
+                                       Instant until)
 {
-    return request.keyDigest.empty() || configuration.revision() < request.revision ||
-           configuration.isGranted(request.keyDigest, request.organisation);
+    // A later term means that this primary can't confirm anything any more.
+    lease.connection().abandonWhen([&groupViews, group, term = request.term()] {
+        return highestTerm(*groupViews.view(group)) > term;
+    });
+    auto done = lease.connection().call(request, until);
+    lease.connection().abandonWhen({});
+    if (done && done->idle()) {
+        lease.markReusable();
+    } else if (!done && done.error().fault == MemberFault::Refused) {
+        resetAndMarkClean(lease);
+    }
+    return done;
 }
 
 } // namespace
 
+std::optional<Refusal> DispatchContext::keyRefusal(const StatementRequest &request) const
+{
+    const auto configuration = parts.configuration();
+    if (request.keyDigest.empty() || configuration->revision() < request.revision ||
+        configuration->isGranted(request.keyDigest, request.organisation)) {
+        return std::nullopt;
+    }
+    return refuse(Reason::KeyRefused, ExecutionOutcome::NotRun,
+                  "the key was withdrawn or moved to another organisation while the statement "
+                  "waited");
+}
+
 tl::expected<AdmissionTicket, Refusal> DispatchContext::admit(const StatementRequest &request,
                                                               const GroupView &view,
                                                               const std::string &member,
@@ -35,10 +57,8 @@
         {view.group + "/" + member, request.organisation,
          parts.configuration()->weightOf(request.organisation), 1, until},
         view.slots);
-    if (ticket && !isAuthorised(request, *parts.configuration())) {
-        return tl::unexpected(refuse(Reason::KeyRefused, ExecutionOutcome::NotRun,
-                                     "the key was withdrawn or moved to another organisation while "
-                                     "the statement waited"));
+    if (auto refusal = keyRefusal(request); ticket && refusal) {
+        return tl::unexpected(std::move(*refusal));
     }
     return ticket;
 }
@@ -64,18 +84,25 @@
     if (!lease) {
         return tl::unexpected(lease.error());
     }
-    // A later term means that this primary can't confirm anything any more.
-    lease->connection().abandonWhen([this, group = view.group, term = request.term()] {
-        return highestTerm(*parts.groupViews.view(group)) > term;
-    });
-    auto done = lease->connection().call(request, until);
-    lease->connection().abandonWhen({});
-    if (done && done->idle()) {
+    return callOn(parts.groupViews, *lease, view.group, request, until);
+}
+
+tl::expected<Done, MemberError> DispatchContext::executeOnce(const StatementRequest &request,
+                                                             const GroupView &view,
+                                                             const std::string &member,
+                                                             const MemberRequest &step,
+                                                             Instant until) const
+{
+    auto lease = connectTo(view, member, until);
+    if (!lease) {
+        return tl::unexpected(lease.error());
+    }
+    if (const auto refusal = keyRefusal(request)) {
         lease->markReusable();
-    } else if (!done && done.error().fault == MemberFault::Refused) {
-        resetAndMarkClean(*lease);
+        return tl::unexpected(MemberError{MemberFault::NotSent,
+                                          target::v1::FAILURE_KIND_UNSPECIFIED, refusal->message});
     }
-    return done;
+    return callOn(parts.groupViews, *lease, view.group, step, until);
 }
 
 bool DispatchContext::mayRetry() const
--- a/gentianplank/statement/dispatch_context.h
+++ b/gentianplank/statement/dispatch_context.h
@@ -21,8 +21,12 @@
         : parts(std::move(from))
     {}
 
-    // Waits for a slot of the member until `until`. Refuses a statement whose key was withdrawn or
-    // moved meanwhile.
+    // Returns the refusal of a statement whose key was withdrawn or moved to another organisation
+    // since the entry VM checked it, by the later configuration of the two VMs. Checked after each
+    // wait that precedes a send.
+    std::optional<Refusal> keyRefusal(const StatementRequest &request) const;
+
+    // Waits for a slot of the member until `until`, then checks the key.
     tl::expected<AdmissionTicket, Refusal> admit(const StatementRequest &request,
                                                  const GroupView &view, const std::string &member,
                                                  Instant until) const;
@@ -36,6 +40,12 @@
     tl::expected<Done, MemberError> callOnce(const GroupView &view, const std::string &member,
                                              const MemberRequest &request, Instant until) const;
 
+    // The same for the statement of a request, as `step`; NotSent if keyRefusal() refuses it once a
+    // connection is available.
+    tl::expected<Done, MemberError> executeOnce(const StatementRequest &request,
+                                                const GroupView &view, const std::string &member,
+                                                const MemberRequest &step, Instant until) const;
+
     // Access to the retry budget; see retry_budget.h.
     bool mayRetry() const;
     bool tryConsumeRetry() const;
--- a/gentianplank/statement/dispatcher_test.cc
+++ b/gentianplank/statement/dispatcher_test.cc
@@ -37,6 +37,7 @@
         const std::lock_guard lock(m_member.held);
         target::v1::Done done;
         done.set_idle(true);
+        toWire({1, 1}, done.mutable_position());
         return done;
     }
 
@@ -44,6 +45,7 @@
                                                           const ChunkSink & /*sink*/,
                                                           Instant /*deadline*/) override
     {
+        ++m_member.calls;
         return tl::unexpected(MemberError{});
     }
 
@@ -87,24 +89,33 @@
 // A dispatcher for a group of one member with one slot.
 struct Fixture
 {
-    Fixture()
+    Fixture() { publishGroup(1, 4, {"m"}); }
+
+    // Publishes the group with its first member as the primary; only members that report are
+    // heard of.
+    void publishGroup(uint32_t slots, uint32_t connections, const std::vector<std::string> &members,
+                      size_t reporting = 1)
     {
         configuration::v1::Target target;
         target.set_group("g");
-        target.set_slots(1);
-        target.set_connections(4);
-        configuration::v1::Member *it = target.add_members();
-        it->set_name("m");
-        it->set_address("m:1");
-        it->set_zone("a");
-        it->set_region("r");
+        target.set_slots(slots);
+        target.set_connections(connections);
+        for (const std::string &name : members) {
+            configuration::v1::Member *it = target.add_members();
+            it->set_name(name);
+            it->set_address(name + ":1");
+            it->set_zone("a");
+            it->set_region("r");
+        }
         auto view = std::make_shared<GroupView>(makeGroupView(target));
-        MemberReport report;
-        report.member = "m";
-        report.role = Role::Primary;
-        report.position = {1, 1};
-        report.receivedAt = steadyNow();
-        applyReport(*view, report);
+        for (size_t i = 0; i < reporting; ++i) {
+            MemberReport report;
+            report.member = members[i];
+            report.role = i == 0 ? Role::Primary : Role::Replica;
+            report.position = {1, 1};
+            report.receivedAt = steadyNow();
+            applyReport(*view, report);
+        }
         groups.publish(std::move(view));
     }
 
@@ -121,8 +132,10 @@
         return request;
     }
 
-    // Runs a read that waits for the slot of another one while the key moves to `holder`.
-    tl::expected<StatementAnswer, Refusal> readWhileKeyMoves(const std::string &holder)
+    // Runs something that waits for the slot or the connection of a read while the key moves to
+    // `holder`, and returns its result.
+    template <typename Run>
+    auto whileKeyMoves(const std::string &holder, Run run)
     {
         std::unique_lock lock(member.held);
         auto first =
@@ -130,9 +143,8 @@
         while (member.calls == 0) {
             std::this_thread::sleep_for(1ms);
         }
-        auto second =
-            std::async(std::launch::async, [&] { return dispatcher.execute(read("t1", 7)); });
-        while (admission.waiting("g/m") == 0) {
+        auto second = std::async(std::launch::async, run);
+        while (admission.waiting("g/m") + pool.waiting("m:1") == 0) {
             std::this_thread::sleep_for(1ms);
         }
         setConfiguration(configurationOf(8, holder));
@@ -141,6 +153,14 @@
         return second.get();
     }
 
+    tl::expected<StatementAnswer, Refusal> runWhileKeyMoves(const std::string &holder,
+                                                            bool isRead = true)
+    {
+        StatementRequest request = read("t1", 7);
+        request.statement.set_read_only(isRead);
+        return whileKeyMoves(holder, [&] { return dispatcher.execute(request); });
+    }
+
     void setConfiguration(std::shared_ptr<const ConfigurationView> configuration)
     {
         const std::lock_guard lock(mutex);
@@ -166,7 +186,7 @@
 // key before.
 BOOST_FIXTURE_TEST_CASE(waitingStatementDoesNotRunForFormerOrganisation, Fixture)
 {
-    const auto moved = readWhileKeyMoves("t2");
+    const auto moved = runWhileKeyMoves("t2");
     BOOST_REQUIRE(!moved.has_value());
     BOOST_TEST((moved.error().reason == Reason::KeyRefused));
     BOOST_TEST((moved.error().outcome == ExecutionOutcome::NotRun));
@@ -176,7 +196,7 @@
 // Guards against the same with a withdrawn key.
 BOOST_FIXTURE_TEST_CASE(waitingStatementDoesNotRunAfterItsKeyIsWithdrawn, Fixture)
 {
-    BOOST_TEST(!readWhileKeyMoves("").has_value());
+    BOOST_TEST(!runWhileKeyMoves("").has_value());
     BOOST_TEST(member.calls == 1);
 }
 
@@ -184,7 +204,35 @@
 // statements that wait while other things change.
 BOOST_FIXTURE_TEST_CASE(laterConfigurationDecides, Fixture)
 {
-    BOOST_TEST(readWhileKeyMoves("t1").has_value());
+    BOOST_TEST(runWhileKeyMoves("t1").has_value());
     BOOST_TEST(dispatcher.execute(read("t2", 9)).has_value());
     BOOST_TEST(!dispatcher.execute(read("t2", 8)).has_value());
 }
+
+// Guards against the same for a statement that has a slot and waits for a pooled connection.
+BOOST_FIXTURE_TEST_CASE(waitForConnectionDoesNotRunForFormerOrganisation, Fixture)
+{
+    publishGroup(2, 2, {"m"});
+    for (const bool isRead : {true, false}) {
+        setConfiguration(configurationOf(7, "t1"));
+        member.calls = 0;
+        const auto moved = runWhileKeyMoves("t2", isRead);
+        BOOST_REQUIRE(!moved.has_value());
+        BOOST_TEST((moved.error().reason == Reason::KeyRefused));
+        BOOST_TEST((moved.error().outcome == ExecutionOutcome::NotRun));
+        BOOST_TEST(member.calls == 1);
+    }
+}
+
+// Guards against the same for a pull.
+BOOST_FIXTURE_TEST_CASE(pullWaitingForConnectionDoesNotRunForFormerOrganisation, Fixture)
+{
+    publishGroup(2, 2, {"m"});
+    const auto moved = whileKeyMoves("t2", [&] {
+        return dispatcher.pull(read("t1", 7),
+                               [](const common::v1::Chunk & /*chunk*/) { return true; });
+    });
+    BOOST_REQUIRE(!moved.has_value());
+    BOOST_TEST((moved.error().reason == Reason::KeyRefused));
+    BOOST_TEST(member.calls == 1);
+}
--- a/gentianplank/statement/pull_run.cc
+++ b/gentianplank/statement/pull_run.cc
@@ -90,6 +90,11 @@
         if (!lease) {
             return tl::unexpected(pullFailure(lease.error().message));
         }
+        if (auto refusal = m_context.keyRefusal(m_request)) {
+            lease->markReusable();
+            m_isFinalRefusal = true;
+            return tl::unexpected(std::move(*refusal));
+        }
         MemberRequest step;
         step.set_term(member.position.term);
         *step.mutable_execute()->mutable_statement() = m_request.statement;
--- a/gentianplank/statement/read_run.cc
+++ b/gentianplank/statement/read_run.cc
@@ -61,7 +61,7 @@
         }
         step.set_term(member->position.term);
         const Instant until = std::min(request.deadline, steadyNow() + MaxAttemptDuration);
-        const auto done = context.callOnce(*view, member->name, step, until);
+        const auto done = context.executeOnce(request, *view, member->name, step, until);
         if (done && covers(fromWire(done->position()), requirements.position)) {
             return StatementAnswer{rowsOf(*done), member->name, false, std::nullopt};
         }
@@ -69,6 +69,9 @@
             return tl::unexpected(
                 refuse(Reason::StatementFailed, ExecutionOutcome::NotRun, done.error().message));
         }
+        if (auto refusal = context.keyRefusal(request)) {
+            return tl::unexpected(std::move(*refusal));
+        }
         requirements.excluded.insert(member->name);
         isRetry = true;
     }
--- a/gentianplank/statement/write_run.cc
+++ b/gentianplank/statement/write_run.cc
@@ -59,7 +59,7 @@
         step.set_term(action.term);
         *step.mutable_execute()->mutable_statement() = request.statement;
         step.mutable_execute()->set_request_id(request.requestId);
-        return context.callOnce(view, action.member, step, action.until);
+        return context.executeOnce(request, view, action.member, step, action.until);
     };
     return runWriteFlow(context, request, flow, send);
 }
--- a/gentianplank/target/connection_pool.cc
+++ b/gentianplank/target/connection_pool.cc
@@ -19,6 +19,8 @@
     std::vector<std::unique_ptr<MemberConnection>> idle;
     // Connections that are idle, in use or being opened.
     size_t openCount = 0;
+    // Calls of acquire() that wait for a connection.
+    size_t waiting = 0;
 };
 
 } // namespace
@@ -98,8 +100,10 @@
     };
     std::unique_lock lock(m_state->mutex);
     AddressPool &pool = m_state->pools[address];
+    ++pool.waiting;
     const bool available = m_state->changed.wait_until(
         lock, deadline, [&] { return !pool.idle.empty() || pool.openCount < limit; });
+    --pool.waiting;
     if (!available) {
         return tl::unexpected(
             MemberError{MemberFault::NotSent, target::v1::FAILURE_KIND_UNSPECIFIED,
@@ -140,4 +144,11 @@
     return it == m_state->pools.end() ? 0 : it->second.openCount;
 }
 
+size_t ConnectionPool::waiting(const std::string &address) const
+{
+    const std::lock_guard lock(m_state->mutex);
+    const auto it = m_state->pools.find(address);
+    return it == m_state->pools.end() ? 0 : it->second.waiting;
+}
+
 } // namespace gentianplank
--- a/gentianplank/target/connection_pool.h
+++ b/gentianplank/target/connection_pool.h
@@ -60,6 +60,9 @@
     // Returns the number of connections to an address: idle, in use and being opened.
     size_t openCount(const std::string &address) const;
 
+    // Returns the number of acquire() calls that wait for a connection to an address.
+    size_t waiting(const std::string &address) const;
+
 private:
     struct State;
     std::shared_ptr<State> m_state;
