Own interface: the dispatcher ends a transaction whose key has moved

What callers could see: at gentianplankd, a transaction whose entry VM was frozen or knew an older configuration went on for the organisation that had held its key before, and a commit that waited for replicas was sent for it. Cause: only the entry VM looked at the key. The dispatching VM kept the request that opened the transaction, with its key, and compared ages and terms alone. Ruled out: the wait for the confirmation of a commit that was sent: it has run.

--- a/gentianplank/statement/dispatch_context.cc
+++ b/gentianplank/statement/dispatch_context.cc
@@ -44,8 +44,8 @@
         return std::nullopt;
     }
     return refuse(Reason::KeyRefused, ExecutionOutcome::NotRun,
-                  "the key was withdrawn or moved to another organisation while the statement "
-                  "waited");
+                  "the key was withdrawn or moved to another organisation before the statement "
+                  "was sent");
 }
 
 tl::expected<AdmissionTicket, Refusal> DispatchContext::admit(const StatementRequest &request,
--- a/gentianplank/statement/dispatcher_test.cc
+++ b/gentianplank/statement/dispatcher_test.cc
@@ -236,3 +236,40 @@
     BOOST_TEST((moved.error().reason == Reason::KeyRefused));
     BOOST_TEST(member.calls == 1);
 }
+
+// Guards against a transaction that goes on for the former organisation at a dispatcher that knows
+// the later configuration; the entry VM may not.
+BOOST_FIXTURE_TEST_CASE(transactionEndsWhenItsKeyMoves, Fixture)
+{
+    auto transaction = dispatcher.begin(read("t1", 7));
+    BOOST_REQUIRE(transaction.has_value());
+    setConfiguration(configurationOf(8, "t2"));
+    const auto step = (*transaction)->execute({}, steadyNow() + 1s);
+    BOOST_REQUIRE(!step.has_value());
+    BOOST_TEST((step.error().reason == Reason::KeyRefused));
+    const auto commit = (*transaction)->commit({"t1/2", false, steadyNow() + 1s});
+    BOOST_REQUIRE(!commit.has_value());
+    BOOST_TEST((commit.error().outcome == ExecutionOutcome::NotRun));
+    BOOST_TEST(member.calls == 1);
+}
+
+// Guards against a commit that waits until a replica can confirm it and is then sent for the former
+// organisation.
+BOOST_FIXTURE_TEST_CASE(commitWaitingForReplicaIsNotSentForFormerOrganisation, Fixture)
+{
+    const std::vector<std::string> members = {"m", "n", "o"};
+    publishGroup(1, 4, members);
+    auto transaction = dispatcher.begin(read("t1", 7));
+    BOOST_REQUIRE(transaction.has_value());
+    auto commit = std::async(std::launch::async, [&] {
+        return (*transaction)->commit({"t1/2", false, steadyNow() + 5s});
+    });
+    std::this_thread::sleep_for(200ms);
+    setConfiguration(configurationOf(8, "t2"));
+    publishGroup(1, 4, members, 2);
+    const auto answer = commit.get();
+    BOOST_REQUIRE(!answer.has_value());
+    BOOST_TEST((answer.error().reason == Reason::KeyRefused));
+    BOOST_TEST((answer.error().outcome == ExecutionOutcome::NotRun));
+    BOOST_TEST(member.calls == 1);
+}
--- a/gentianplank/statement/transaction_run.cc
+++ b/gentianplank/statement/transaction_run.cc
@@ -73,7 +73,7 @@
         flow.pinned = PinnedPrimary{m_age.member, m_age.term};
         auto answer = runWriteFlow(*m_context, m_request, flow,
                                    [&](const GroupView & /*view*/, const WriteAction &action) {
-                                       return sendCommit(action);
+                                       return sendCommit(flow, action);
                                    });
         end(refuse(Reason::Aborted, ExecutionOutcome::Unknown, "the transaction has ended"));
         return answer;
@@ -94,7 +94,7 @@
         end(refuse(Reason::Aborted, ExecutionOutcome::NotRun, "the transaction is rolled back"));
     }
 
-    // Rolls the transaction back if it has reached a limit and no step is running.
+    // Rolls the transaction back if it has reached a limit or lost its key, and no step is running.
     void rollBackIfExpired(Instant now)
     {
         const std::unique_lock lock(m_mutex, std::try_to_lock);
@@ -104,8 +104,14 @@
     }
 
 private:
-    tl::expected<Done, MemberError> sendCommit(const WriteAction &action)
+    tl::expected<Done, MemberError> sendCommit(WriteFlow &flow, const WriteAction &action)
     {
+        if (const auto refusal = m_context->keyRefusal(m_request)) {
+            m_held.reset();
+            onNotAdmitted(flow, *refusal, steadyNow());
+            return tl::unexpected(MemberError{
+                MemberFault::NotSent, target::v1::FAILURE_KIND_UNSPECIFIED, refusal->message});
+        }
         MemberRequest step;
         step.set_term(action.term);
         step.mutable_commit()->set_request_id(m_request.requestId);
@@ -128,6 +134,9 @@
             return end(unknownGroupRefusal(m_request.group));
         }
         auto refusal = expiryRefusal(m_age, *view, now);
+        if (!refusal) {
+            refusal = m_context->keyRefusal(m_request);
+        }
         if (refusal) {
             end(*refusal);
         }
