Traffic: retiring the dispatchers of unlisted members has a test

Cause: Traffic::State::updateDispatchers called retire, whose own test passed also when the caller called close in its place. Ruled out: an end-to-end test: statements of a member that hangs are answered on other ways first, so it can't tell the two apart. Change: retireUnlisted, over the dispatchers and the view, in dispatcher_map; retiredDispatcherAnswersAllStatements runs through it. Behaviour is the same.

--- a/gentianplank/node/traffic/member_dispatcher_test.cc
+++ b/gentianplank/node/traffic/member_dispatcher_test.cc
@@ -1,4 +1,4 @@
-#include "gentianplank/node/traffic/member_dispatcher.h"
+#include "gentianplank/node/traffic/dispatcher_map.h"
 #include "gentianplank/standin/line_protocol_group.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -400,7 +400,8 @@
         execute(statement(i, "WRITE b 1", ForwardKind::Write));
     }
     runFor(20ms);
-    dispatcher->retire("the member is no longer listed");
+    DispatcherMap dispatchers{{"g-0", dispatcher}};
+    retireUnlisted(dispatchers, FleetView{});
     runFor(20ms);
     for (size_t i = 1; i < outcomes.size(); ++i) {
         BOOST_REQUIRE(outcomes[i].has_value());
--- a/gentianplank/node/traffic/traffic_dispatch.cc
+++ b/gentianplank/node/traffic/traffic_dispatch.cc
@@ -104,19 +104,13 @@
 
 void Traffic::State::updateDispatchers()
 {
-    for (auto it = dispatchers.begin(); it != dispatchers.end();) {
-        const auto member = view->members.find(it->first);
-        if (member == view->members.end()) {
-            const auto dispatcher = it->second;
-            it = dispatchers.erase(it);
-            dispatcher->retire("the member is no longer listed");
-            continue;
-        }
-        it->second->update(member->second.entry, dispatcherLimits(member->second));
-        const auto ranked = dispatchTable.dispatchersOf(it->first);
-        it->second->setPreferredDispatcher(!ranked.empty() &&
+    retireUnlisted(dispatchers, *view);
+    for (const auto &[id, dispatcher] : dispatchers) {
+        const FleetMember &member = view->members.find(id)->second;
+        dispatcher->update(member.entry, dispatcherLimits(member));
+        const auto ranked = dispatchTable.dispatchersOf(id);
+        dispatcher->setPreferredDispatcher(!ranked.empty() &&
                                            ranked.front()->name == settings.name && !isHandedOver);
-        ++it;
     }
 }
 
--- a/gentianplank/node/traffic/traffic_state.h
+++ b/gentianplank/node/traffic/traffic_state.h
@@ -12,7 +12,7 @@
 #include "gentianplank/node/traffic/cold_role.h"
 #include "gentianplank/node/traffic/connection_shares.h"
 #include "gentianplank/node/traffic/dispatch_table.h"
-#include "gentianplank/node/traffic/member_dispatcher.h"
+#include "gentianplank/node/traffic/dispatcher_map.h"
 #include "gentianplank/node/traffic/node_metrics.h"
 #include "gentianplank/node/traffic/peer_mesh.h"
 #include "gentianplank/node/traffic/rate_exchange.h"
@@ -167,7 +167,7 @@
     // Lowest epoch of each group that has not been released.
     std::map<std::string, uint64_t> releasedEpochs;
     std::vector<EpochRelease> releases;
-    std::map<std::string, std::shared_ptr<MemberDispatcher>> dispatchers;
+    DispatcherMap dispatchers;
     std::map<uint64_t, std::shared_ptr<CallerSession>> sessions;
     uint64_t nextSession = 1;
     std::optional<Instant> stoppingSince;
