Soak: statements of a key that moves run for its holder

Cause: the soak moves a key between organisations while VMs are paused, killed and cut from the store, but checked only that a withdrawn key stops; a statement that ran for the former holder was not seen. No test froze a real process while a key moved. Ruled out: the check of stable keys, which has no holder for the moving one. Change: members record when they ran a statement; a run is reported if its organisation had lost the key for longer than revoke-ms. Result: reportsStatementOfFormerHolderOfMovedKey plants the fault 1 ms past the limit and sees it reported.

--- a/gentianplank/soak/history.cc
+++ b/gentianplank/soak/history.cc
@@ -1,5 +1,6 @@
 #include "gentianplank/soak/history.h"
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -99,6 +100,16 @@
     }
 }
 
+// Whether the organisation held the moving key when the statement ran, or lost it within the limit.
+bool mayRunForHolder(const History &history, const ExecutedStatement &run)
+{
+    return std::any_of(history.movingKey.begin(), history.movingKey.end(),
+                       [&](const KeyPeriod &it) {
+                           return it.organisation == run.organisation && it.from <= run.at &&
+                                  run.at - history.revocationLimit <= it.until;
+                       });
+}
+
 void checkRuns(const History &history, Violations &found)
 {
     Runs runs;
@@ -113,6 +124,11 @@
                         {"a statement runs for its key's organisation",
                          id + " of " + it.organisation + " ran for " + run->organisation});
                 }
+                if (it.organisation.empty() && !mayRunForHolder(history, *run)) {
+                    found.push_back(
+                        {"a statement runs for its key's organisation",
+                         id + " ran for " + run->organisation + ", which no longer held the key"});
+                }
                 if (it.isAfterWithdrawal) {
                     found.push_back({"a withdrawn key stops working",
                                      id + " ran after the key had been withdrawn"});
--- a/gentianplank/soak/history.h
+++ b/gentianplank/soak/history.h
@@ -48,12 +48,26 @@
     bool isDuringPlannedStop = false;
 };
 
+// A time in which one organisation held the key that moves.
+struct KeyPeriod
+{
+    // Empty while the key is withdrawn.
+    std::string organisation;
+    // Before the configuration was published, and after the next one was.
+    Instant from{};
+    Instant until = Instant::max();
+};
+
 struct History
 {
     // In the order in which they ended, for each caller.
     std::vector<CallerOperation> operations;
     std::vector<ExecutedStatement> runs;
     std::vector<CommittedWrite> commits;
+    // Of the callers without an organisation of their own, in order.
+    std::vector<KeyPeriod> movingKey;
+    // How long a statement may still run for an organisation after it lost its key.
+    Duration revocationLimit{0};
 };
 
 struct Violation
--- a/gentianplank/soak/history_test.cc
+++ b/gentianplank/soak/history_test.cc
@@ -22,7 +22,8 @@
         read.written = "";
         read.read = "v1";
         history.operations = {write, read};
-        history.runs = {{"w1", "WRITE a v1", "t1", 0, 1, {}}, {"r1", "READ a", "t1", 1, 2, {}}};
+        history.runs = {{"w1", "WRITE a v1", "t1", 0, 1, {}, {}},
+                        {"r1", "READ a", "t1", 1, 2, {}, {}}};
         history.commits = {{"a", "v1", 1}};
     }
 
@@ -90,11 +91,29 @@
     BOOST_TEST(promise() == "a withdrawn key stops working");
 }
 
+BOOST_FIXTURE_TEST_CASE(reportsStatementOfFormerHolderOfMovedKey, Fixture)
+{
+    const Instant start{std::chrono::hours(1)};
+    history.revocationLimit = std::chrono::seconds(3);
+    history.movingKey = {{"t1", start, start + std::chrono::seconds(5)},
+                         {"t2", start + std::chrono::seconds(4)}};
+    for (CallerOperation &it : history.operations) {
+        it.organisation = "";
+    }
+    history.runs[0].at = start;
+    history.runs[1].at = start + std::chrono::seconds(8);
+    BOOST_TEST(promise() == "");
+    history.runs[1].at += std::chrono::milliseconds(1);
+    BOOST_TEST(promise() == "a statement runs for its key's organisation");
+    history.runs[1].organisation = "t2";
+    BOOST_TEST(promise() == "");
+}
+
 BOOST_FIXTURE_TEST_CASE(reportsTransactionOnTwoConnections, Fixture)
 {
     history.operations[0].isTransaction = true;
     history.operations[0].statements = {"w1", "c1"};
-    history.runs.push_back({"c1", "COMMIT", "t1", 0, 3, {}});
+    history.runs.push_back({"c1", "COMMIT", "t1", 0, 3, {}, {}});
     BOOST_TEST(promise() == "a transaction stays on one connection");
 }
 
@@ -102,8 +121,8 @@
 {
     history.operations[0].isTransaction = true;
     history.operations[0].statements = {"w1", "c1"};
-    history.runs.push_back({"w1", "WRITE a v1", "t1", 0, 3, {}});
-    history.runs.push_back({"c1", "COMMIT", "t1", 0, 3, {}});
+    history.runs.push_back({"w1", "WRITE a v1", "t1", 0, 3, {}, {}});
+    history.runs.push_back({"c1", "COMMIT", "t1", 0, 3, {}, {}});
     BOOST_TEST(promise() == "");
 }
 
--- a/gentianplank/soak/soak_run.cc
+++ b/gentianplank/soak/soak_run.cc
@@ -53,7 +53,9 @@
         : m_options(options)
         , m_schedule(std::move(schedule))
         , m_group(GroupName, Members)
-    {}
+    {
+        m_history.revocationLimit = RevocationLimit;
+    }
 
     SoakResult execute();
 
@@ -95,8 +97,13 @@
             organisations.back().keys.emplace_back("moving");
         }
     }
+    const Instant from = steadyNow();
     m_store.put("op", "config", configurationOf(++m_revision, organisations));
     const std::lock_guard lock(m_mutex);
+    if (!m_history.movingKey.empty()) {
+        m_history.movingKey.back().until = steadyNow();
+    }
+    m_history.movingKey.push_back({holder, from});
     m_movingKey.holder = holder;
     m_movingKey.withdrawnAt = holder.empty() ? steadyNow() : Instant::max();
 }
--- a/gentianplank/standin/line_protocol_group.h
+++ b/gentianplank/standin/line_protocol_group.h
@@ -6,6 +6,7 @@
 //     group.promote(1);
 #pragma once
 
+#include "gentianplank/base/time.h"
 #include "gentianplank/target/member_entry.h"
 
 #include <cstdint>
@@ -28,6 +29,8 @@
     uint64_t connection = 0;
     // Session variables that the connection had set.
     std::map<std::string, std::string> values;
+    // When the member ran it.
+    Instant at{};
 };
 
 // A write that took effect at a primary.
--- a/gentianplank/standin/line_protocol_sessions.cc
+++ b/gentianplank/standin/line_protocol_sessions.cc
@@ -168,7 +168,7 @@
     if (answer.empty()) {
         if (!isInternal) {
             runs.push_back({id, text, connection.organisation, connection.member, connection.number,
-                            connection.values});
+                            connection.values, steadyNow()});
         }
         answer = member.failsStatements && !isInternal
                      ? platform::encodeError(ErrorCode::Failed, "fault")
