Own interface: one reply for a send that this VM refuses

Ruled out: one function for the connection and the check of the key, for reads, writes and pulls: a pull must tell the two refusals apart, so it would look the key up twice and grow longer. Change: refuseSend, called by writes and commits; admit asks for the key only with a slot. Behaviour is the same.

--- a/gentianplank/statement/dispatch_context.cc
+++ b/gentianplank/statement/dispatch_context.cc
@@ -34,6 +34,12 @@
     return done;
 }
 
+tl::unexpected<MemberError> notSent(const Refusal &refusal)
+{
+    return tl::unexpected(
+        MemberError{MemberFault::NotSent, target::v1::FAILURE_KIND_UNSPECIFIED, refusal.message});
+}
+
 } // namespace
 
 std::optional<Refusal> DispatchContext::keyRefusal(const StatementRequest &request) const
@@ -57,7 +63,10 @@
         {view.group + "/" + member, request.organisation,
          parts.configuration()->weightOf(request.organisation), 1, until},
         view.slots);
-    if (auto refusal = keyRefusal(request); ticket && refusal) {
+    if (!ticket) {
+        return ticket;
+    }
+    if (auto refusal = keyRefusal(request)) {
         return tl::unexpected(std::move(*refusal));
     }
     return ticket;
@@ -99,8 +108,7 @@
     }
     if (const auto refusal = keyRefusal(request)) {
         lease->markReusable();
-        return tl::unexpected(MemberError{MemberFault::NotSent,
-                                          target::v1::FAILURE_KIND_UNSPECIFIED, refusal->message});
+        return notSent(*refusal);
     }
     return callOn(parts.groupViews, *lease, view.group, step, until);
 }
@@ -123,6 +131,12 @@
     recordRequest(budget);
 }
 
+tl::unexpected<MemberError> refuseSend(WriteFlow &flow, const Refusal &refusal)
+{
+    onNotAdmitted(flow, refusal, steadyNow());
+    return notSent(refusal);
+}
+
 Rows rowsOf(const Done &done)
 {
     return {done.rows().begin(), done.rows().end()};
--- a/gentianplank/statement/dispatch_context.h
+++ b/gentianplank/statement/dispatch_context.h
@@ -63,6 +63,9 @@
 // Blocks.
 void resetAndMarkClean(ConnectionLease &lease);
 
+// Records that this VM refuses a Send before it reaches the member, and returns its reply.
+tl::unexpected<MemberError> refuseSend(WriteFlow &flow, const Refusal &refusal);
+
 // Sends the write or the commit of the action.
 using SendStep = std::function<tl::expected<Done, MemberError>(const GroupView &view,
                                                                const WriteAction &action)>;
--- a/gentianplank/statement/transaction_run.cc
+++ b/gentianplank/statement/transaction_run.cc
@@ -108,9 +108,7 @@
     {
         if (const auto refusal = m_context->keyRefusal(m_request)) {
             m_held.reset();
-            onNotAdmitted(flow, *refusal, steadyNow());
-            return tl::unexpected(MemberError{
-                MemberFault::NotSent, target::v1::FAILURE_KIND_UNSPECIFIED, refusal->message});
+            return refuseSend(flow, *refusal);
         }
         MemberRequest step;
         step.set_term(action.term);
--- a/gentianplank/statement/write_run.cc
+++ b/gentianplank/statement/write_run.cc
@@ -50,10 +50,7 @@
                           const WriteAction &action) -> tl::expected<Done, MemberError> {
         auto ticket = context.admit(request, view, action.member, flow.resolveFrom);
         if (!ticket) {
-            onNotAdmitted(flow, ticket.error(), steadyNow());
-            return tl::unexpected(MemberError{MemberFault::NotSent,
-                                              target::v1::FAILURE_KIND_UNSPECIFIED,
-                                              ticket.error().message});
+            return refuseSend(flow, ticket.error());
         }
         MemberRequest step;
         step.set_term(action.term);
