Soak: the holder of the moving key follows from its periods

Cause: added the periods of the moving key beside a struct that kept its holder and the time of its withdrawal, which the periods tell. Ruled out: dropping the check of withdrawn keys, which the new one includes: each promise keeps its own check. Change: the struct is gone; a withdrawal counts from the end of the period before it, the same moment as until now.

--- a/gentianplank/soak/soak_run.cc
+++ b/gentianplank/soak/soak_run.cc
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <atomic>
 #include <csignal>
+#include <iterator>
 #include <memory>
 #include <mutex>
 #include <stdexcept>
@@ -39,13 +40,6 @@
 constexpr uint64_t OperationsPerSession = 40;
 constexpr Duration Pause = 5ms;
 
-// Who holds the moving key now, and since when it has been withdrawn.
-struct MovingKey
-{
-    std::string holder = "t0";
-    Instant withdrawnAt = Instant::max();
-};
-
 class Run
 {
 public:
@@ -84,7 +78,6 @@
     int m_revision = 0;
     Instant m_startedAt{};
     std::mutex m_mutex;
-    MovingKey m_movingKey;
     History m_history;
 };
 
@@ -104,8 +97,6 @@
         m_history.movingKey.back().until = steadyNow();
     }
     m_history.movingKey.push_back({holder, from});
-    m_movingKey.holder = holder;
-    m_movingKey.withdrawnAt = holder.empty() ? steadyNow() : Instant::max();
 }
 
 void Run::publishMembers()
@@ -212,7 +203,7 @@
         m_group.loseNextAnswer();
         break;
     case FaultKind::MoveKey:
-        publishConfiguration(m_movingKey.holder == "t1" ? "t2" : "t1");
+        publishConfiguration(m_history.movingKey.back().organisation == "t1" ? "t2" : "t1");
         break;
     case FaultKind::WithdrawKey:
         publishConfiguration("");
@@ -341,8 +332,11 @@
     operation.organisation = isMoving ? "" : "t" + std::to_string(caller);
     if (isMoving) {
         const std::lock_guard lock(m_mutex);
-        operation.isAfterWithdrawal = m_movingKey.withdrawnAt != Instant::max() &&
-                                      operation.sentAt > m_movingKey.withdrawnAt + RevocationLimit;
+        // The first period is not a withdrawal.
+        const auto current = std::prev(m_history.movingKey.end());
+        operation.isAfterWithdrawal =
+            current->organisation.empty() &&
+            operation.sentAt > std::prev(current)->until + RevocationLimit;
     }
     if (number % 3 == 0) {
         const auto answer =
