Review case 7: of two members that lead, the older term is taken

Two members were promoted one after the other, and the first can't know of the second. The holder of the duty gets 'primary 2' and 'primary 3' as answers and stores the member of term 2. Order: drain, promotion of member 2, its record's answer lost, BUSY, promotion of member 1, its record's answer lost, both answer STATUS, the older term is stored. Code: node/control/primary_change.cc, selectCandidate: the first answer counts, not the newest term.

--- a/review/standin-2/two_primaries.cpp
+++ b/review/standin-2/two_primaries.cpp
@@ -47,37 +47,6 @@
     const bool hasChanged = servingWrittenAt != 0;
     world.stop();
 
-    // ONE: a write is committed at an old primary after a promote of another member has taken
-    // effect, and acknowledged to its client.
-    std::map<std::string, ClientWrite> acknowledged;
-    for (const ClientWrite &it : world.writes()) {
-        if (it.isAcknowledged()) {
-            acknowledged[it.id] = it;
-        }
-    }
-    size_t broken = 0;
-    for (const Commit &commit : world.service.commits()) {
-        for (const Promotion &it : world.service.promotions()) {
-            const bool isOld = it.effectiveAtMs != 0 && it.member != commit.member &&
-                               it.term > commit.term && commit.atMs > it.effectiveAtMs;
-            if (isOld && acknowledged.count(commit.id) != 0) {
-                ++broken;
-                world.record.write(
-                    "ONE broken: " + commit.id + " committed at " +
-                    world.service.idOf(commit.member) + " in term " + std::to_string(commit.term) +
-                    " at " + std::to_string(commit.atMs) + " ms, after " +
-                    world.service.idOf(it.member) + " led term " + std::to_string(it.term) +
-                    " from " + std::to_string(it.effectiveAtMs) + " ms; acknowledged at " +
-                    std::to_string(acknowledged[commit.id].answeredAtMs) + " ms");
-                break;
-            }
-        }
-    }
-    const std::string summary = std::to_string(acknowledged.size()) + " writes acknowledged, " +
-                                std::to_string(world.service.promotions().size()) +
-                                " promotions, " + std::to_string(broken) +
-                                " writes acknowledged that an old primary committed";
-    world.record.write(summary);
-    std::cout << summary << '\n';
-    world.exit(!hasChanged || acknowledged.empty() ? 2 : broken > 0 ? 1 : 0);
+    const size_t broken = world.countOldPrimaryCommits();
+    world.exit(!hasChanged || world.writes().empty() ? 2 : broken > 0 ? 1 : 0);
 }
--- a/review/standin-2/world.cpp
+++ b/review/standin-2/world.cpp
@@ -478,6 +478,7 @@
 {
     for (size_t i = 0; i < m_members.size(); ++i) {
         m_members[i].isPrimary = i == 0;
+        m_members[i].zone = i == 1 ? "rs-sul-b" : "rs-sul-a";
         m_members[i].port =
             listenOn([this, i](const std::shared_ptr<Stream> &stream) { serve(i, stream); });
     }
@@ -552,6 +553,25 @@
     m_members[member].fullUntilMs = untilMs;
 }
 
+void Service::isolateUntil(size_t member, int64_t untilMs)
+{
+    const std::lock_guard lock(m_mutex);
+    m_members[member].isolatedUntilMs = untilMs;
+}
+
+void Service::moveAway(size_t member, int64_t roundTripMs)
+{
+    const std::lock_guard lock(m_mutex);
+    m_members[member].roundTripMs = roundTripMs;
+    m_members[member].zone = "pr-norte-a";
+}
+
+bool Service::canReach(size_t member, size_t other) const
+{
+    const int64_t now = nowMs();
+    return now >= m_members[member].isolatedUntilMs && now >= m_members[other].isolatedUntilMs;
+}
+
 // Writes the member's entry. The lock is held.
 void Service::report(size_t index)
 {
@@ -559,7 +579,7 @@
     member.reportedAtMs = nowMs();
     const Json entry{{"service", m_name},
                      {"address", "127.0.0.1:" + std::to_string(member.port)},
-                     {"zone", index == 1 ? "rs-sul-b" : "rs-sul-a"},
+                     {"zone", member.zone},
                      {"version", "v1"},
                      {"slot-count", Slots},
                      {"state", member.isDraining ? "draining" : "ready"},
@@ -592,16 +612,20 @@
             report(it.member);
         }
     }
-    size_t newest = m_members.size();
-    for (size_t i = 0; i < m_members.size(); ++i) {
-        if (m_members[i].isPrimary &&
-            (newest == m_members.size() || m_members[i].term > m_members[newest].term)) {
-            newest = i;
-        }
-    }
     for (size_t i = 0; i < m_members.size(); ++i) {
         Member &member = m_members[i];
-        if (member.isPrimary && newest < m_members.size() && i != newest) {
+        // The primary of the newest term that this member can reach.
+        const size_t none = m_members.size();
+        size_t newest = none;
+        for (size_t j = 0; j < m_members.size(); ++j) {
+            const bool isNewer = m_members[j].isPrimary && (i == j || canReach(i, j)) &&
+                                 (newest == none || m_members[j].term > m_members[newest].term);
+            newest = isNewer ? j : newest;
+        }
+        if (member.isPrimary && i == newest) {
+            member.deposedAtMs = 0;
+        }
+        if (member.isPrimary && i != newest) {
             member.deposedAtMs = member.deposedAtMs == 0 ? now : member.deposedAtMs;
             if (now - member.deposedAtMs >= DeposedMs) {
                 member.isPrimary = false;
@@ -609,7 +633,7 @@
                 report(i);
             }
         }
-        if (!member.isPrimary && newest < m_members.size()) {
+        if (!member.isPrimary && newest != none) {
             const Member &source = m_members[newest];
             // What the new primary has not received is rolled back.
             size_t common = 0;
@@ -662,7 +686,12 @@
         } else {
             break;
         }
-        if (!stream->send(answer) || isRefused) {
+        sleepMs(m_members[index].roundTripMs);
+        const bool isCut = !answer.empty() && answer.back() == '\0';
+        if (isCut) {
+            answer.pop_back();
+        }
+        if (!stream->send(answer) || isRefused || isCut) {
             break;
         }
     }
@@ -717,9 +746,19 @@
     if (answer.empty() && verb != "STATUS" && id != "-") {
         m_record.write("member " + idOf(session.member) + " gets " + id + " " + text);
     }
-    if (answer.empty() && takesSlot && !work(lock, member)) {
+    const bool isClients = id != "-";
+    const int mishapped = isClients && mishap ? mishap(id) : 0;
+    if (answer.empty() && takesSlot && (mishapped == 3 || !work(lock, member))) {
         answer = "ERROR BUSY full\r\n";
     }
+    if (answer.empty() && isClients && extraWorkMs) {
+        const int64_t extra = extraWorkMs(id);
+        if (extra > 0) {
+            lock.unlock();
+            sleepMs(extra);
+            lock.lock();
+        }
+    }
     if (answer.empty()) {
         answer = perform(session, id, words);
     }
@@ -734,6 +773,12 @@
     if (!hasFailed) {
         answer += id == "-" ? "DONE -\r\n" : "DONE sig." + id + "\r\n";
     }
+    if (mishapped == 1) {
+        return "";
+    }
+    if (mishapped == 2) {
+        return answer.substr(0, answer.size() / 2) + '\0';
+    }
     return answer + ready(session);
 }
 
@@ -790,12 +835,21 @@
     if (verb == "COMMIT") {
         return commit(session, id);
     }
+    if (verb == "EXECUTE" && words.size() > 1) {
+        const auto it = session.prepared.find(words[1]);
+        if (it == session.prepared.end()) {
+            return "ERROR NOSTMT " + words[1] + "\r\n";
+        }
+        std::vector<std::string> plain(words.begin() + 1, words.end());
+        plain[0] = it->second.first ? "WRITE" : "READ";
+        return perform(session, id, plain);
+    }
     const bool writes = verb == "WRITE";
     if (writes && words.size() > 2) {
         if (!member.isPrimary) {
             return "ERROR READONLY " + idOf(session.member) + "\r\n";
         }
-        session.writes.emplace_back(words[1], words[2]);
+        session.writes.push_back({id, words[1], words[2]});
         return session.state == 'T' ? "" : commit(session, id);
     }
     if (verb == "READ" && words.size() > 1) {
@@ -824,12 +878,13 @@
     if (!member.isPrimary) {
         return "ERROR READONLY " + idOf(session.member) + "\r\n";
     }
-    for (const auto &[item, data] : writes) {
-        const Commit done{id,     item, data, session.member, member.term, member.log.size() + 1,
-                          nowMs()};
+    for (const auto &it : writes) {
+        const Commit done{
+            it.id,  id, it.item, it.data, session.member, member.term, member.log.size() + 1,
+            nowMs()};
         member.log.push_back(done);
         m_commits.push_back(done);
-        m_record.write("member " + idOf(session.member) + " commits " + id + " at " +
+        m_record.write("member " + idOf(session.member) + " commits " + it.id + " at " +
                        std::to_string(done.term) + "." + std::to_string(done.number));
     }
     return "";
@@ -978,7 +1033,8 @@
             << "serves = [\"front\"]\nip = \"127.0.0.1\"\nzone = \"" << zone
             << "\"\nregion = \"rs-sul\"\ninternal-port-range = [" << entry.peerPort << ","
             << entry.peerPort << "]\nbootstrap = true\nheartbeat-interval-ms = " << HeartbeatMs
-            << "\n[zones]\nrs-sul-a = \"rs-sul\"\nrs-sul-b = \"rs-sul\"\n"
+            << "\n[zones]\nrs-sul-a = \"rs-sul\"\nrs-sul-b = \"rs-sul\"\npr-norte-a = "
+               "\"pr-norte\"\n"
             << "[listen-addresses]\nfront = \"127.0.0.1:" << entry.clientPort
             << "\"\nready = \"127.0.0.1:" << entry.readyPort
             << "\"\n[limits]\ncpu-share = 0.25\nmemory-mb = 260\nfile-descriptors = 4300\n"
@@ -1057,6 +1113,43 @@
     }
 }
 
+// Writes that were committed at an old primary after a promote of another member had taken effect,
+// and acknowledged to their clients.
+size_t World::countOldPrimaryCommits()
+{
+    std::map<std::string, ClientWrite> acknowledged;
+    for (const ClientWrite &it : writes()) {
+        if (it.isAcknowledged()) {
+            acknowledged[it.id] = it;
+        }
+    }
+    size_t broken = 0;
+    for (const Commit &commit : service.commits()) {
+        for (const Promotion &it : service.promotions()) {
+            const bool isOld = it.effectiveAtMs != 0 && it.member != commit.member &&
+                               it.term > commit.term && commit.atMs > it.effectiveAtMs;
+            if (isOld && acknowledged.count(commit.id) != 0) {
+                ++broken;
+                record.write("ONE broken: " + commit.id + " committed at " +
+                             service.idOf(commit.member) + " in term " +
+                             std::to_string(commit.term) + " at " + std::to_string(commit.atMs) +
+                             " ms, after " + service.idOf(it.member) + " led term " +
+                             std::to_string(it.term) + " from " + std::to_string(it.effectiveAtMs) +
+                             " ms; acknowledged at " +
+                             std::to_string(acknowledged[commit.id].answeredAtMs) + " ms");
+                break;
+            }
+        }
+    }
+    const std::string summary = std::to_string(acknowledged.size()) + " writes acknowledged, " +
+                                std::to_string(service.promotions().size()) + " promotions, " +
+                                std::to_string(broken) +
+                                " writes acknowledged that an old primary committed";
+    record.write(summary);
+    std::cout << summary << '\n';
+    return broken;
+}
+
 std::vector<ClientWrite> World::writes()
 {
     const std::lock_guard lock(m_mutex);
--- a/review/standin-2/world.hpp
+++ b/review/standin-2/world.hpp
@@ -136,7 +136,9 @@
 
 struct Commit
 {
+    // Of the write, and of the COMMIT if it ran in a transaction.
     std::string id;
+    std::string commitId;
     std::string item;
     std::string data;
     size_t member = 0;
@@ -170,6 +172,10 @@
     void drain(size_t member);
     // Until that time all slots and the queue of the member are taken.
     void fillUntil(size_t member, int64_t untilMs);
+    // Until that time the member and the other members can't reach each other.
+    void isolateUntil(size_t member, int64_t untilMs);
+    // Puts the member into the other region: each of its answers takes that much longer.
+    void moveAway(size_t member, int64_t roundTripMs);
     size_t primary() const;
     std::vector<Commit> commits() const;
     std::vector<Promotion> promotions() const;
@@ -177,6 +183,10 @@
 
     int64_t promoteMs = 1000;
     int64_t workMs = 8;
+    // For explorations: what else happens to a client's statement.
+    std::function<int64_t(const std::string &id)> extraWorkMs;
+    // 1: the answer is lost, 2: it is cut off, 3: BUSY.
+    std::function<int(const std::string &id)> mishap;
 
 private:
     struct Member
@@ -190,6 +200,9 @@
         uint32_t waiting = 0;
         uint32_t connections = 0;
         int64_t fullUntilMs = 0;
+        int64_t isolatedUntilMs = 0;
+        int64_t roundTripMs = 0;
+        std::string zone = "rs-sul-a";
         // When it can first reach a primary of a later term.
         int64_t deposedAtMs = 0;
         uint64_t sequence = 0;
@@ -201,7 +214,14 @@
         std::string tenant;
         char state = 'I';
         bool isReadOnly = false;
-        std::vector<std::pair<std::string, std::string>> writes;
+        struct Write
+        {
+            std::string id;
+            std::string item;
+            std::string data;
+        };
+        std::vector<Write> writes;
+        std::vector<std::string> statements;
         std::map<std::string, std::pair<bool, std::string>> prepared;
     };
     void serve(size_t member, const std::shared_ptr<Stream> &stream);
@@ -213,6 +233,7 @@
     std::string commit(Session &session, const std::string &id);
     std::string ready(const Session &session) const;
     void report(size_t member);
+    bool canReach(size_t member, size_t other) const;
     void tick();
 
     Store &m_store;
@@ -286,6 +307,8 @@
     // Ends the programs, removes the temporary folder and ends this process.
     [[noreturn]] void exit(int status);
     std::vector<ClientWrite> writes();
+    // The check of ONE; also writes what it finds.
+    size_t countOldPrimaryCommits();
     void putConfiguration(uint64_t version, const Json &tenants);
 
     Record record;
