Change of primary: selection as a function, logs of record writes and answers

Ruled out: a line for each status query; a change sends one each 30 ms.

Change: selectPrimary() holds the selection, unchanged, over the members' reports; busy and silent members are told apart in them.

--- a/gentianplank/node/control/control_groups.cc
+++ b/gentianplank/node/control/control_groups.cc
@@ -197,12 +197,19 @@
             RowError{RowFault::ConditionFailed, "another VM holds the promotion duty", {}}));
         return;
     }
-    store.change(
-        groupRecordWrite(record, version, dutyVersion), StoreTimeout,
-        [this, name = record.group, done = std::move(done)](RowResult<StoreVersion> result) {
-            groups[name].writtenAt = bootNow();
-            done(std::move(result));
-        });
+    store.change(groupRecordWrite(record, version, dutyVersion), StoreTimeout,
+                 [this, record, version, done = std::move(done)](RowResult<StoreVersion> result) {
+                     groups[record.group].writtenAt = bootNow();
+                     logEvent("group.record_write",
+                              {{"group", record.group},
+                               {"epoch", record.epoch},
+                               {"primary", record.primary},
+                               {"changing", record.phase == GroupPhase::Changing},
+                               {"expected_version", toString(version)},
+                               {"outcome", result ? "stored" : result.error().what},
+                               {"row_version", result ? toString(*result) : std::string()}});
+                     done(std::move(result));
+                 });
 }
 
 void Control::State::beginChange(const std::string &name, ChangeCause cause,
--- a/gentianplank/node/control/primary_change.cc
+++ b/gentianplank/node/control/primary_change.cc
@@ -2,6 +2,7 @@
 
 #include "gentianplank/base/event_log.h"
 #include "gentianplank/node/control/known_group.h"
+#include "gentianplank/node/control/primary_selection.h"
 
 #include <algorithm>
 
@@ -23,12 +24,6 @@
 constexpr int MaxPromotions = 5;
 constexpr Duration RetryDelay = std::chrono::milliseconds(100);
 
-struct Candidate
-{
-    MemberEntry entry;
-    platform::MemberStatus status;
-};
-
 } // namespace
 
 struct PrimaryChange::State
@@ -37,11 +32,13 @@
     void awaitReleases();
     bool isReleasedByAll() const;
     void probeMembers();
-    void selectCandidate();
-    const Candidate *bestCandidate() const;
+    void continueByReports();
+    Selection select() const;
+    void logSelection(const Selection &selection);
     uint32_t synchronousReplicasOfGroup() const;
-    void keepOldPrimaryOrProbeAgain(bool hasTimedOut);
-    void promote(const Candidate &candidate);
+    std::set<std::string> excludedMembers() const;
+    const platform::MemberStatus *oldPrimaryStatus() const;
+    void promote(const MemberReport &candidate);
     void awaitTakeover(const MemberEntry &member);
     void storeServing(const MemberEntry &member, uint64_t term);
     void demoteOldPrimary(uint64_t term) const;
@@ -67,8 +64,9 @@
     uint64_t probeRound = 0;
     size_t probesOutstanding = 0;
     bool skipsOldPrimary = false;
-    std::vector<Candidate> candidates;
-    std::optional<platform::MemberStatus> oldPrimary;
+    std::vector<MemberReport> reports;
+    // What was last logged of the reports.
+    std::string loggedReports;
     std::set<std::string> refusedMembers;
     // The replicas of the group that were listed when this round of probes began.
     size_t listedReplicas = 0;
@@ -154,8 +152,7 @@
 // Queries the status of all members of the group.
 void PrimaryChange::State::probeMembers()
 {
-    candidates.clear();
-    oldPrimary.reset();
+    reports.clear();
     const auto view = environment.view();
     std::vector<MemberEntry> probedMembers;
     for (const auto &[id, member] : view->members) {
@@ -186,84 +183,84 @@
                 return;
             }
             State &state = *owner->m_state;
-            if (probe.status) {
-                if (entry.id == state.record.primary) {
-                    state.oldPrimary = probe.status;
-                }
-                state.candidates.push_back({entry, *probe.status});
-            }
+            state.reports.push_back({entry, probe.isReachable, probe.status});
             if (awaited && --state.probesOutstanding == 0) {
                 ++state.probeRound;
-                state.selectCandidate();
+                state.continueByReports();
             }
         });
     }
 }
 
-void PrimaryChange::State::selectCandidate()
+void PrimaryChange::State::continueByReports()
 {
-    // A member is already primary in a later term: a promotion whose outcome was unknown has taken
-    // effect.
-    for (const Candidate &it : candidates) {
-        if (it.status.isPrimary && it.entry.id != record.primary && it.status.term > record.term) {
-            storeServing(it.entry, it.status.term);
-            return;
+    const Selection selection = select();
+    logSelection(selection);
+    switch (selection.step) {
+    case SelectionStep::Adopt:
+    case SelectionStep::KeepOldPrimary:
+        storeServing(selection.member->entry, selection.member->status->term);
+        return;
+    case SelectionStep::Promote:
+        if (const auto *old = oldPrimaryStatus()) {
+            record.term = std::max(record.term, old->term);
         }
-    }
-    const Candidate *best = bestCandidate();
-    const bool hasTimedOut = bootNow() - probingSince > CatchUpTimeout;
-    const bool isBehind =
-        best != nullptr && oldPrimary && best->status.position < oldPrimary->position;
-    if (best == nullptr) {
-        keepOldPrimaryOrProbeAgain(hasTimedOut);
+        promote(MemberReport(*selection.member));
         return;
-    }
-    if (isBehind && !hasTimedOut) {
+    case SelectionStep::AwaitCatchUp:
         scheduleTask(PollInterval, [](State &state) { state.probeMembers(); });
         return;
+    case SelectionStep::QueryAgain:
+        refusedMembers.clear();
+        scheduleTask(RetryDelay, [](State &state) { state.probeMembers(); });
+        return;
     }
-    if (oldPrimary) {
-        record.term = std::max(record.term, oldPrimary->term);
-    }
-    promote(Candidate(*best));
 }
 
-// Returns the replica with the newest position among those that may lead; null if there is none, or
-// if it isn't known to hold every acknowledged commit of a group that replicates synchronously.
-const Candidate *PrimaryChange::State::bestCandidate() const
+Selection PrimaryChange::State::select() const
 {
-    const uint32_t synchronousReplicas = synchronousReplicasOfGroup();
-    std::vector<const Candidate *> replicas;
-    for (const Candidate &it : candidates) {
-        if (it.entry.id != record.primary && !it.status.isPrimary) {
-            replicas.push_back(&it);
-        }
-    }
-    // A commit is acknowledged when this many replicas have received it, and replicas that leave
-    // count. With fewer answers, only a silent replica may hold it.
-    if (synchronousReplicas > 0 && replicas.size() + synchronousReplicas <= listedReplicas) {
-        return nullptr;
+    SelectionInput input{record, reports};
+    input.listedReplicas = listedReplicas;
+    input.synchronousReplicas = synchronousReplicasOfGroup();
+    input.excludedMembers = excludedMembers();
+    input.hasCatchUpExpired = bootNow() - probingSince > CatchUpTimeout;
+    input.mayHavePromoted = mayHavePromoted;
+    return selectPrimary(input);
+}
+
+// A round that found the same as the one before is not logged again.
+void PrimaryChange::State::logSelection(const Selection &selection)
+{
+    const std::string text = toString(reports) + " " + toString(selection.step);
+    if (text == loggedReports) {
+        return;
     }
-    const Candidate *best = nullptr;
-    LogPosition newest;
+    loggedReports = text;
+    logEvent("primary.selection",
+             {{"group", record.group},
+              {"epoch", record.epoch},
+              {"term", record.term},
+              {"members", toString(reports)},
+              {"step", toString(selection.step)},
+              {"member", selection.member == nullptr ? "" : selection.member->entry.id}});
+}
+
+std::set<std::string> PrimaryChange::State::excludedMembers() const
+{
+    std::set<std::string> excluded = refusedMembers;
     const auto view = environment.view();
-    for (const Candidate *it : replicas) {
-        newest = std::max(newest, it->status.position);
-        // A leaving replica leads only if no other one can hold all acknowledged commits.
-        const bool mayLead = (!it->entry.isLeaving || synchronousReplicas > 0) &&
-                             refusedMembers.count(it->entry.id) == 0 &&
-                             view->evacuatedZones.count(it->entry.zone) == 0;
-        const bool isBetter = best == nullptr || best->status.position < it->status.position ||
-                              (best->status.position == it->status.position &&
-                               best->entry.isLeaving && !it->entry.isLeaving);
-        if (mayLead && isBetter) {
-            best = it;
+    for (const MemberReport &it : reports) {
+        if (view->evacuatedZones.count(it.entry.zone) != 0) {
+            excluded.insert(it.entry.id);
         }
     }
-    if (synchronousReplicas > 0 && best != nullptr && best->status.position < newest) {
-        return nullptr;
-    }
-    return best;
+    return excluded;
+}
+
+const platform::MemberStatus *PrimaryChange::State::oldPrimaryStatus() const
+{
+    const MemberReport *old = findReport(reports, record.primary);
+    return old != nullptr && old->status ? &*old->status : nullptr;
 }
 
 uint32_t PrimaryChange::State::synchronousReplicasOfGroup() const
@@ -273,34 +270,20 @@
     return limits == nullptr ? 0 : limits->synchronousReplicas;
 }
 
-// No member can take over. The old primary stays if it still serves and no other member may have
-// been promoted: it would go on in a term that another member leads.
-void PrimaryChange::State::keepOldPrimaryOrProbeAgain(bool hasTimedOut)
-{
-    if (hasTimedOut && !mayHavePromoted && oldPrimary && oldPrimary->isPrimary) {
-        const auto view = environment.view();
-        const auto it = view->members.find(record.primary);
-        if (it != view->members.end()) {
-            storeServing(it->second.entry, oldPrimary->term);
-            return;
-        }
-    }
-    refusedMembers.clear();
-    scheduleTask(RetryDelay, [](State &state) { state.probeMembers(); });
-}
-
-void PrimaryChange::State::promote(const Candidate &candidate)
+void PrimaryChange::State::promote(const MemberReport &candidate)
 {
     if (++promotions > MaxPromotions) {
         finish(false, "no promotion took effect after the maximum number of attempts");
         return;
     }
+    const auto *old = oldPrimaryStatus();
     logEvent("primary.promote", {{"group", record.group},
                                  {"member", candidate.entry.id},
                                  {"epoch", record.epoch},
-                                 {"position_term", candidate.status.position.term},
-                                 {"position", candidate.status.position.position},
-                                 {"old_position", oldPrimary ? oldPrimary->position.position : 0}});
+                                 {"row_version", toString(version)},
+                                 {"position_term", candidate.status->position.term},
+                                 {"position", candidate.status->position.position},
+                                 {"old_position", old == nullptr ? 0 : old->position.position}});
     environment.promote(
         record.group, version, candidate.entry.id,
         [weak = self, candidate](platform::PromotionReply answer, const std::string &what) {
