Records of groups: a write with an unknown outcome is settled before anything rests on it

Cause: a record's write whose answer was lost ended the change of primary. The next one began from the stored record and promoted another member. The store performed the lost write seconds later, as its conditions still held, and the record named a member that had been deposed.

Ruled out: a read before the promotion settles it: the write may come after the read. A new record of the changing phase at each continued change settles it too, but costs a write whenever the duty moves, where the duty's row has changed anyway.

Change: writeUntilSettled() repeats a write with the same conditions until its outcome is known; either the row's version moves, or 412 shows the row. All writes of records go through it, and no change begins meanwhile. The former ones of a lost duty fail by the duty's version. The store's stand-in can perform a write late, the members' one can be too busy for a status.

--- a/gentianplank/node/control/control_groups.cc
+++ b/gentianplank/node/control/control_groups.cc
@@ -2,6 +2,7 @@
 
 #include "gentianplank/base/event_log.h"
 #include "gentianplank/node/control/duty_writes.h"
+#include "gentianplank/node/control/settled_write.h"
 
 #include <boost/asio/post.hpp>
 
@@ -78,7 +79,8 @@
 
 bool Control::State::knowsAllWrites(const GroupState &group) const
 {
-    return showsAllWrites(fleetFollower->provenAt(), group.writtenAt, earlierHolderWroteUntil);
+    return !group.isWriting &&
+           showsAllWrites(fleetFollower->provenAt(), group.writtenAt, earlierHolderWroteUntil);
 }
 
 // The first record of a group names the member that claims to be primary.
@@ -188,28 +190,54 @@
     });
 }
 
+// Stores a record. A write whose outcome is unknown is repeated, so that none is performed beside
+// what follows.
 void Control::State::storeRecord(const GroupRecord &record, const StoreVersion &version,
                                  std::function<void(RowResult<StoreVersion>)> done)
 {
-    if (!holdsDuty()) {
+    groups[record.group].isWriting = true;
+    SettledWrite write;
+    write.key = std::string(GroupKeyPrefix) + record.group;
+    write.value = encodeGroupRecord(record);
+    write.attempt = [this, record, version,
+                     ownDuty = dutyVersion](std::function<void(RowResult<StoreVersion>)> answered) {
+        attemptRecordWrite(record, version, ownDuty, std::move(answered));
+    };
+    write.schedule = [this](Duration delay, std::function<void()> task) {
+        schedule(delay, std::move(task));
+    };
+    writeUntilSettled(std::move(write), [this, name = record.group,
+                                         done = std::move(done)](RowResult<StoreVersion> result) {
+        groups[name].isWriting = false;
+        done(std::move(result));
+    });
+}
+
+void Control::State::attemptRecordWrite(const GroupRecord &record, const StoreVersion &version,
+                                        const StoreVersion &ownDuty,
+                                        std::function<void(RowResult<StoreVersion>)> answered)
+{
+    if (!holdsDuty() || dutyVersion != ownDuty) {
         // The new holder continues the change; what this VM knows of the members may be outdated.
-        done(tl::make_unexpected(
+        // The duty's row has changed, so that no earlier attempt can be performed any more.
+        answered(tl::make_unexpected(
             RowError{RowFault::ConditionFailed, "another VM holds the promotion duty", {}}));
         return;
     }
-    store.change(groupRecordWrite(record, version, dutyVersion), StoreTimeout,
-                 [this, record, version, done = std::move(done)](RowResult<StoreVersion> result) {
-                     groups[record.group].writtenAt = bootNow();
-                     logEvent("group.record_write",
-                              {{"group", record.group},
-                               {"epoch", record.epoch},
-                               {"primary", record.primary},
-                               {"changing", record.phase == GroupPhase::Changing},
-                               {"expected_version", toString(version)},
-                               {"outcome", result ? "stored" : result.error().what},
-                               {"row_version", result ? toString(*result) : std::string()}});
-                     done(std::move(result));
-                 });
+    store.change(
+        groupRecordWrite(record, version, ownDuty), StoreTimeout,
+        [this, record, version, answered = std::move(answered)](RowResult<StoreVersion> result) {
+            groups[record.group].writtenAt = bootNow();
+            logEvent("group.record_write",
+                     {{"group", record.group},
+                      {"epoch", record.epoch},
+                      {"primary", record.primary},
+                      {"changing", record.phase == GroupPhase::Changing},
+                      {"expected_version", toString(version)},
+                      {"outcome", result ? "stored" : result.error().what},
+                      {"row_version", result ? toString(*result) : std::string()}});
+            answered(std::move(result));
+        });
 }
 
 void Control::State::beginChange(const std::string &name, ChangeCause cause,
--- a/gentianplank/node/control/control_state.h
+++ b/gentianplank/node/control/control_state.h
@@ -48,6 +48,8 @@
     bool isConfirming = false;
     int recordChecks = 0;
     BootInstant nextChangeAt{};
+    // A write of the record by this VM may still be performed.
+    bool isWriting = false;
     // When the last write of the record by this VM was answered or failed.
     BootInstant writtenAt{};
     bool isCheckingReachability = false;
@@ -164,6 +166,9 @@
     PrimaryChangeEnvironment changeEnvironment();
     void storeRecord(const GroupRecord &record, const StoreVersion &version,
                      std::function<void(RowResult<StoreVersion>)> done);
+    void attemptRecordWrite(const GroupRecord &record, const StoreVersion &version,
+                            const StoreVersion &ownDuty,
+                            std::function<void(RowResult<StoreVersion>)> answered);
     void handleSuspicion(const std::string &group, const std::string &member);
     void checkReachability(const std::string &group, const std::string &member);
     void recordReachability(const std::shared_ptr<ReachabilityCheck> &check, bool isReachable);
--- a/gentianplank/node/control/primary_change.cc
+++ b/gentianplank/node/control/primary_change.cc
@@ -97,7 +97,6 @@
         }
         State &state = *owner->m_state;
         if (!result) {
-            // If the write took effect after all, the change is continued from the stored record.
             state.finish(false, "could not store the group's record: " + result.error().what);
             return;
         }
--- a/gentianplank/node/control/primary_change.h
+++ b/gentianplank/node/control/primary_change.h
@@ -34,7 +34,8 @@
     std::function<void(const MemberEntry &, uint64_t term)> demote;
     // Tells every VM to release the group's primary.
     std::function<void(const std::string &group, uint64_t epoch, bool isOrderly)> notify;
-    // Stores a record if its row still has `version`; the result is the new version.
+    // Stores a record if its row still has `version`; the result is the new version. After an
+    // error the record isn't stored later.
     std::function<void(const GroupRecord &, const StoreVersion &version,
                        std::function<void(RowResult<StoreVersion>)>)>
         store;
--- a/gentianplank/standin/http_table_store.cc
+++ b/gentianplank/standin/http_table_store.cc
@@ -4,6 +4,7 @@
 #include "gentianplank/http/http_listener.h"
 
 #include <absl/strings/escaping.h>
+#include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
 #include <map>
@@ -75,6 +76,8 @@
     HttpAnswer handle(const HttpCall &call);
     HttpAnswer answer(const HttpCall &call);
     HttpAnswer transact(const Json &body);
+    std::optional<Duration> delayOf(const Json &transaction) const;
+    void transactLater(const Json &body, Duration delay);
     HttpAnswer readRange(const std::map<std::string, std::string> &query) const;
     HttpAnswer feed(const std::map<std::string, std::string> &query) const;
     static Json rowToJson(const std::string &table, const std::string &key, const Row &row);
@@ -94,6 +97,7 @@
     uint64_t calls = 0;
     std::map<std::string, uint64_t> reads;
     Fault fault = Fault::None;
+    std::function<std::optional<Duration>(const std::string &, const std::string &)> writeDelay;
     std::function<unsigned(const std::string &, const std::string &)> promotionHandler;
     std::vector<uint64_t> fencingTokens;
 };
@@ -140,7 +144,12 @@
     if (call.target == "/rows-tx" && fault == Fault::RejectedTransactions) {
         result = makeAnswer(429, {});
     } else if (call.target == "/rows-tx") {
-        result = transact(Json::parse(call.body));
+        const Json body = Json::parse(call.body);
+        if (const auto delay = delayOf(body)) {
+            transactLater(body, *delay);
+            return makeAnswer(503, {}, LostAnswerDelay);
+        }
+        result = transact(body);
     } else if (call.target.starts_with("/rows-get")) {
         ++reads[query.at("table")];
         result = readRange(query);
@@ -190,6 +199,30 @@
     return makeAnswer(200, envelope());
 }
 
+std::optional<Duration> HttpTableStore::State::delayOf(const Json &transaction) const
+{
+    for (const Json &it : transaction.at("writes")) {
+        std::string value;
+        absl::Base64Unescape(it.at("value").get<std::string>(), &value);
+        const auto delay = writeDelay ? writeDelay(it.at("key"), value) : std::nullopt;
+        if (delay) {
+            return delay;
+        }
+    }
+    return std::nullopt;
+}
+
+void HttpTableStore::State::transactLater(const Json &body, Duration delay)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(ioContext, delay);
+    timer->async_wait([this, timer, body](boost::system::error_code ec) {
+        const std::lock_guard lock(mutex);
+        if (!ec) {
+            transact(body);
+        }
+    });
+}
+
 HttpAnswer HttpTableStore::State::readRange(const std::map<std::string, std::string> &query) const
 {
     Json body = envelope();
@@ -283,6 +316,14 @@
     m_state->fault = fault;
 }
 
+void HttpTableStore::delayWrites(
+    std::function<std::optional<Duration>(const std::string &key, const std::string &value)>
+        delayOf)
+{
+    const std::lock_guard lock(m_state->mutex);
+    m_state->writeDelay = std::move(delayOf);
+}
+
 void HttpTableStore::dropHistory()
 {
     const std::lock_guard lock(m_state->mutex);
--- a/gentianplank/standin/http_table_store.h
+++ b/gentianplank/standin/http_table_store.h
@@ -8,6 +8,8 @@
 //     store.restore(copy);
 #pragma once
 
+#include "gentianplank/base/time.h"
+
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -45,6 +47,12 @@
                                                         const std::string &key) const;
 
     void setFault(Fault fault);
+    // Sets a function that is called with the key and value of each row that a transaction writes.
+    // If it returns a delay, the transaction isn't answered, and is performed after the delay if
+    // its conditions then hold. It runs on the server's thread.
+    void delayWrites(
+        std::function<std::optional<Duration>(const std::string &key, const std::string &value)>
+            delayOf);
     // Discards the change history: feeds that start from an earlier version are answered with 410.
     void dropHistory();
 
--- a/gentianplank/standin/line_protocol_group.cc
+++ b/gentianplank/standin/line_protocol_group.cc
@@ -128,6 +128,12 @@
     m_state->members[member].failsStatements = fails;
 }
 
+void LineProtocolGroup::refuseStatus(size_t member, bool refuses)
+{
+    const std::lock_guard lock(m_state->mutex);
+    m_state->members[member].refusesStatus = refuses;
+}
+
 void LineProtocolGroup::loseNextAnswer()
 {
     const std::lock_guard lock(m_state->mutex);
--- a/gentianplank/standin/line_protocol_group.h
+++ b/gentianplank/standin/line_protocol_group.h
@@ -64,6 +64,8 @@
     // Makes the member answer its status and connections as usual, and every statement of callers
     // with an error.
     void failStatements(size_t member, bool fails);
+    // Makes the member answer queries of its status with BUSY.
+    void refuseStatus(size_t member, bool refuses);
     // Makes the next write or commit take effect but reset its connection instead of answering.
     void loseNextAnswer();
     // Makes reads of an item be answered with rows without an end: of 64 KiB as fast as they are
--- a/gentianplank/standin/line_protocol_sessions.cc
+++ b/gentianplank/standin/line_protocol_sessions.cc
@@ -191,6 +191,9 @@
     Member &member = members[connection.member];
     const std::string &verb = words[0];
     if (verb == "STATUS") {
+        if (member.refusesStatus) {
+            return platform::encodeError(ErrorCode::Busy, "slots");
+        }
         return status(member);
     }
     if (verb == "DEMOTE") {
--- a/gentianplank/standin/line_protocol_state.h
+++ b/gentianplank/standin/line_protocol_state.h
@@ -27,6 +27,7 @@
         bool isPrimary = false;
         bool isSilent = false;
         bool failsStatements = false;
+        bool refusesStatus = false;
         uint64_t term = 1;
         uint64_t position = 0;
         std::map<std::string, std::string> items;
