Change of primary: the member that leads the newest term is recorded

Cause: a member that was promoted and can't reach the next one goes on. The selection took the first member that reported a later term than the record's, in the order of the answers, and promoted another one at a missed status.

Ruled out: the order of the status queries; any order can have the older term first.

Change: the newest term counts, and only if no member knows of a later one. While one is known whose primary hasn't answered, the change asks again, for as long as a promotion may take, before it promotes.

--- a/gentianplank/node/control/primary_change.cc
+++ b/gentianplank/node/control/primary_change.cc
@@ -206,6 +206,7 @@
         }
         promote(MemberReport(*selection.member));
         return;
+    case SelectionStep::AwaitPrimary:
     case SelectionStep::AwaitCatchUp:
         scheduleTask(PollInterval, [](State &state) { state.probeMembers(); });
         return;
@@ -224,6 +225,7 @@
     input.excludedMembers = excludedMembers();
     input.hasCatchUpExpired = bootNow() - probingSince > CatchUpTimeout;
     input.mayHavePromoted = mayHavePromoted;
+    input.arePromotionsSettled = bootNow() - std::max(probingSince, promotedAt) > TakeoverTimeout;
     return selectPrimary(input);
 }
 
--- a/gentianplank/node/control/primary_change_test.cc
+++ b/gentianplank/node/control/primary_change_test.cc
@@ -238,6 +238,25 @@
     BOOST_TEST(stored[0].term == 4U);
 }
 
+// Guards against writes at a deposed primary: a continued change recorded the first member that
+// claimed to lead, though another led a later term.
+BOOST_FIXTURE_TEST_CASE(continuedChangeAdoptsPrimaryOfNewestTerm, Fixture)
+{
+    setStatus("q", true, 4, 100);
+    setStatus("s", true, 5, 100);
+    auto change = std::make_shared<PrimaryChange>(
+        environment, GroupRecord{"g", 6, GroupPhase::Changing, "p", 1, 3, false, "vm-0"},
+        rowVersion, "vm-1", [this](bool succeeded) { result = succeeded; });
+    change->start(ChangeCause::Other, "unfinished change");
+    change->handleReleased("vm-1", 6);
+    change->handleReleased("vm-2", 6);
+    run();
+    BOOST_TEST(promoted.empty());
+    BOOST_REQUIRE(stored.size() == 1U);
+    BOOST_TEST(stored[0].primary == "s");
+    BOOST_TEST(stored[0].term == 5U);
+}
+
 BOOST_FIXTURE_TEST_CASE(endsWhenRecordCannotBeStored, Fixture)
 {
     failsStores = true;
--- a/gentianplank/node/control/primary_selection.cc
+++ b/gentianplank/node/control/primary_selection.cc
@@ -6,14 +6,39 @@
 
 namespace {
 
-const MemberReport *findLaterPrimary(const SelectionInput &input)
+// Returns the term of the old primary; 0 if it isn't known.
+uint64_t oldTerm(const SelectionInput &input)
 {
-    const auto leadsLaterTerm = [&](const MemberReport &it) {
-        return it.status && it.status->isPrimary && it.entry.id != input.record.primary &&
-               it.status->term > input.record.term;
-    };
-    const auto it = std::find_if(input.reports.begin(), input.reports.end(), leadsLaterTerm);
-    return it == input.reports.end() ? nullptr : &*it;
+    const MemberReport *old = findReport(input.reports, input.record.primary);
+    const bool leads = old != nullptr && old->status && old->status->isPrimary;
+    return std::max(input.record.term, leads ? old->status->term : 0);
+}
+
+uint64_t newestKnownTerm(std::span<const MemberReport> reports)
+{
+    uint64_t newest = 0;
+    for (const MemberReport &it : reports) {
+        if (it.status) {
+            newest = std::max({newest, it.status->term, it.status->position.term});
+        }
+    }
+    return newest;
+}
+
+// Returns the member that leads the newest term after the old primary's; null if there is none.
+// More than one member leads while those of older terms can't reach the newest.
+const MemberReport *findNewestPrimary(const SelectionInput &input)
+{
+    const MemberReport *newest = nullptr;
+    for (const MemberReport &it : input.reports) {
+        const bool leadsLaterTerm = it.status && it.status->isPrimary &&
+                                    it.entry.id != input.record.primary &&
+                                    it.status->term > input.record.term;
+        if (leadsLaterTerm && (newest == nullptr || newest->status->term < it.status->term)) {
+            newest = &it;
+        }
+    }
+    return newest;
 }
 
 // Returns the replica with the newest position among those that may lead; null if there is none, or
@@ -65,9 +90,15 @@
 Selection selectPrimary(const SelectionInput &input)
 {
     // A promotion whose outcome was unknown has taken effect.
-    if (const MemberReport *primary = findLaterPrimary(input)) {
+    const MemberReport *primary = findNewestPrimary(input);
+    const uint64_t newestTerm = newestKnownTerm(input.reports);
+    if (primary != nullptr && primary->status->term >= newestTerm) {
         return {SelectionStep::Adopt, primary};
     }
+    const uint64_t term = oldTerm(input);
+    if (term != 0 && newestTerm > term && !input.arePromotionsSettled) {
+        return {SelectionStep::AwaitPrimary, nullptr};
+    }
     const MemberReport *old = findReport(input.reports, input.record.primary);
     const bool oldAnswers = old != nullptr && old->status;
     const MemberReport *best = findBestReplica(input);
@@ -89,6 +120,8 @@
     switch (step) {
     case SelectionStep::Adopt:
         return "adopt";
+    case SelectionStep::AwaitPrimary:
+        return "await_primary";
     case SelectionStep::Promote:
         return "promote";
     case SelectionStep::KeepOldPrimary:
--- a/gentianplank/node/control/primary_selection.h
+++ b/gentianplank/node/control/primary_selection.h
@@ -42,11 +42,15 @@
     bool hasCatchUpExpired = false;
     // A promotion was accepted, or its outcome is unknown.
     bool mayHavePromoted = false;
+    // Every promotion that was called has taken effect, or never will.
+    bool arePromotionsSettled = false;
 };
 
 enum class SelectionStep {
-    // The member is the primary of a later term: record it.
+    // The member is the primary of the newest term that any member knows of: record it.
     Adopt,
+    // The primary of the newest term hasn't reported its status: query again shortly.
+    AwaitPrimary,
     Promote,
     // No member can take over or may have been promoted, and the old primary still serves: record
     // it again.
--- /dev/null
+++ b/gentianplank/node/control/primary_selection_test.cc
@@ -0,0 +1,102 @@
+#include "gentianplank/node/control/primary_selection.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace gentianplank;
+
+namespace {
+
+// A change of the primary p, of term 3, in a group of p, q and s.
+struct Fixture
+{
+    // Adds the report of a member that leads or follows `term`.
+    void report(const std::string &id, bool isPrimary, uint64_t term, uint64_t position = 100)
+    {
+        reports.push_back({{id, "g", "10.0.0.1:1", "a", 2, false, isPrimary, 1},
+                           true,
+                           platform::MemberStatus{isPrimary, term, {term, position}, 0, 0, 0}});
+    }
+
+    void reportBusy(const std::string &id)
+    {
+        reports.push_back({{id, "g", "10.0.0.1:1", "a", 2, false, false, 1}, true, std::nullopt});
+    }
+
+    // Returns the step and the member, as "step member".
+    std::string select() const
+    {
+        SelectionInput input{record, reports};
+        input.listedReplicas = 2;
+        input.hasCatchUpExpired = hasCatchUpExpired;
+        input.arePromotionsSettled = arePromotionsSettled;
+        const Selection selection = selectPrimary(input);
+        const std::string member =
+            selection.member == nullptr ? "" : " " + selection.member->entry.id;
+        return toString(selection.step) + member;
+    }
+
+    GroupRecord record{"g", 6, GroupPhase::Changing, "p", 1, 3, false, "vm-1"};
+    std::vector<MemberReport> reports;
+    bool hasCatchUpExpired = false;
+    bool arePromotionsSettled = false;
+};
+
+} // namespace
+
+// Guards against writes at a deposed primary: of two members that led, the one that answered first
+// was recorded, though its term was the older one.
+BOOST_FIXTURE_TEST_CASE(memberThatLeadsNewestTermIsAdopted, Fixture)
+{
+    report("p", false, 4);
+    report("q", true, 4);
+    report("s", true, 5);
+    BOOST_TEST(select() == "adopt s");
+    std::swap(reports[1], reports[2]);
+    BOOST_TEST(select() == "adopt s");
+}
+
+// Guards against the same while the member that leads the newest term doesn't answer.
+BOOST_FIXTURE_TEST_CASE(memberIsNotAdoptedWhileAnotherKnowsLaterTerm, Fixture)
+{
+    report("p", false, 5);
+    report("q", true, 4);
+    reportBusy("s");
+    BOOST_TEST(select() == "await_primary");
+    reports.pop_back();
+    report("s", true, 5);
+    BOOST_TEST(select() == "adopt s");
+}
+
+// Guards against a second promotion beside the first, whose member missed one status query.
+BOOST_FIXTURE_TEST_CASE(noMemberIsPromotedWhileAnotherLeadsLaterTerm, Fixture)
+{
+    report("p", true, 3);
+    report("q", false, 4);
+    reportBusy("s");
+    BOOST_TEST(select() == "await_primary");
+    arePromotionsSettled = true;
+    BOOST_TEST(select() == "promote q");
+}
+
+// Guards against a longer outage: the record may lack the term of a primary that nobody replaced.
+BOOST_FIXTURE_TEST_CASE(termsOfUnreplacedPrimaryAreNoLaterTerms, Fixture)
+{
+    record.term = 0;
+    report("p", true, 4);
+    report("q", false, 4);
+    report("s", false, 4);
+    BOOST_TEST(select() == "promote q");
+    record.term = 3;
+    BOOST_TEST(select() == "promote q");
+    record.term = 0;
+    reports.erase(reports.begin());
+    BOOST_TEST(select() == "promote q");
+}
+
+BOOST_FIXTURE_TEST_CASE(reportsAreDescribedByRoleTermAndPosition, Fixture)
+{
+    report("p", true, 3);
+    reportBusy("q");
+    reports.push_back({{"s", "g", "10.0.0.1:1", "a", 2, false, false, 1}, false, std::nullopt});
+    BOOST_TEST(toString(reports) == "p:primary:3:3.100,q:busy,s:silent");
+}
