Change of primary: the record lists promotions before they are requested

Cause: that a member may have been promoted was known to one change of one process only. A continued change kept the old primary when the replicas were too busy to answer, or promoted another member at one missed status.

Ruled out: to begin each continued change as if any member may have been promoted. It needs answers of all members, or waits for the time of a promotion, whenever the duty moves.

Change: GroupRecord::promoted, stored before the request in place of the read that proved the duty; selectPrimary() adopts a member only if no promotion can take effect after its own, requests a listed one again at once, awaits a busy or silent one for 3 s, and keeps the old primary only if none was listed. If nobody else can lead for 7 s, the old primary is promoted itself.

--- a/gentianplank/node/control/control_duty.cc
+++ b/gentianplank/node/control/control_duty.cc
@@ -128,10 +128,10 @@
     earlierHolderWroteUntil = isFirstOfEra ? BootInstant{} : dutyAcquiredAt;
 }
 
-// Calls the platform only right after a read has proven that the duty is still held and that the
-// group's row is the one that the change is based on.
+// Calls the platform only right after a read or a write has proven that the duty is still held and
+// that the group's row is the one that the change is based on.
 void Control::State::promote(const std::string &group, const StoreVersion &version,
-                             const std::string &member,
+                             const std::string &member, BootInstant provenAt,
                              std::function<void(platform::PromotionReply, std::string)> done)
 {
     const bool isWithinHandOver =
@@ -141,6 +141,11 @@
              "the promotion duty is not held, or not yet for long enough");
         return;
     }
+    if (bootNow() - provenAt <= MaxDutyProofAge) {
+        platform::requestPromotion(promotionClient, group, member, settings.name,
+                                   toOrderedNumber(dutyVersion), PromotionTimeout, std::move(done));
+        return;
+    }
     const BootInstant sentAt = bootNow();
     store.read({FleetTable, PromotionDutyKey}, StoreTimeout,
                [this, group, version, member, sentAt,
--- a/gentianplank/node/control/control_groups.cc
+++ b/gentianplank/node/control/control_groups.cc
@@ -181,7 +181,7 @@
     GroupState &group = groups[name];
     group.nextChangeAt = bootNow() + ChangeRetryDelay;
     group.recordChecks = 0;
-    const GroupRecord record = nextRecord(group.record, dutyVersion.era, settings.name);
+    const GroupRecord record = confirmedRecord(group.record, dutyVersion.era, settings.name);
     storeRecord(record, group.version, [record](const RowResult<StoreVersion> &result) {
         logEvent("group.confirmed", {{"group", record.group},
                                      {"epoch", record.epoch},
@@ -295,9 +295,9 @@
         storeRecord(record, version, std::move(done));
     };
     environment.promote = [this](const std::string &group, const StoreVersion &version,
-                                 const std::string &member,
+                                 const std::string &member, BootInstant provenAt,
                                  std::function<void(platform::PromotionReply, std::string)> done) {
-        promote(group, version, member, std::move(done));
+        promote(group, version, member, provenAt, std::move(done));
     };
     return environment;
 }
--- a/gentianplank/node/control/control_state.h
+++ b/gentianplank/node/control/control_state.h
@@ -147,6 +147,7 @@
     void acquireDuty();
     void recordDutyAcquired(bool isFirstOfEra);
     void promote(const std::string &group, const StoreVersion &version, const std::string &member,
+                 BootInstant provenAt,
                  std::function<void(platform::PromotionReply, std::string)> done);
 
     // Erases the rows of VMs that are gone for good, so that their rate shares become free.
--- a/gentianplank/node/control/known_group.cc
+++ b/gentianplank/node/control/known_group.cc
@@ -65,6 +65,13 @@
     return next;
 }
 
+GroupRecord confirmedRecord(const GroupRecord &record, uint64_t era, const std::string &writer)
+{
+    GroupRecord confirmed = nextRecord(record, era, writer);
+    confirmed.promoted.reset();
+    return confirmed;
+}
+
 RecordVerdict checkRecord(const GroupRecord &record, std::span<const MemberAnswer> answers)
 {
     uint64_t newestTerm = record.term;
--- a/gentianplank/node/control/known_group.h
+++ b/gentianplank/node/control/known_group.h
@@ -55,6 +55,10 @@
 // Returns the record as `writer` stores it next, in `era`, with an epoch above all earlier ones.
 GroupRecord nextRecord(const GroupRecord &record, uint64_t era, const std::string &writer);
 
+// The same for a record that is stored again in a new era. If it is changing, the lost rows may
+// have listed more promotions.
+GroupRecord confirmedRecord(const GroupRecord &record, uint64_t era, const std::string &writer);
+
 // The answer of a member of the group.
 struct MemberAnswer
 {
--- a/gentianplank/node/control/known_group_test.cc
+++ b/gentianplank/node/control/known_group_test.cc
@@ -173,3 +173,17 @@
     isOfUnknownTerm.term = 0;
     BOOST_TEST((checkRecord(isOfUnknownTerm, isSilent) == RecordVerdict::Unknown));
 }
+
+// Guards against a member that is taken for the newest primary, while one leads whose promotion was
+// listed in a row that the copy of the store lacks.
+BOOST_AUTO_TEST_CASE(changingRecordOfEarlierEraListsNoPromotions)
+{
+    GroupRecord changing = record(5, "a", 1);
+    changing.phase = GroupPhase::Changing;
+    changing.promoted = std::vector<std::string>{"b"};
+    const GroupRecord confirmed = confirmedRecord(changing, 2, "vm-1");
+    BOOST_TEST(!confirmed.promoted);
+    BOOST_TEST((confirmed.phase == GroupPhase::Changing));
+    BOOST_TEST((confirmed.era == 2U));
+    BOOST_TEST((nextRecord(changing, 1, "vm-1").promoted == changing.promoted));
+}
--- a/gentianplank/node/control/primary_change.cc
+++ b/gentianplank/node/control/primary_change.cc
@@ -2,6 +2,7 @@
 
 #include "gentianplank/base/event_log.h"
 #include "gentianplank/node/control/known_group.h"
+#include "gentianplank/node/control/primary_releases.h"
 #include "gentianplank/node/control/primary_selection.h"
 
 #include <algorithm>
@@ -10,6 +11,8 @@
 
 namespace {
 
+using Promotions = std::optional<std::vector<std::string>>;
+
 // Covers the drift between the boot clocks of two machines over one lease, which is well below
 // this.
 constexpr Duration LeaseClockMargin = std::chrono::milliseconds(150);
@@ -22,6 +25,9 @@
 // it is requested again.
 constexpr Duration TakeoverTimeout = std::chrono::milliseconds(3000);
 constexpr int MaxPromotions = 5;
+// How long a change waits for an answer of members that may have been promoted if no replica can
+// take over. They may be restarting, or busy.
+constexpr Duration PromotedWait = std::chrono::milliseconds(7000);
 constexpr Duration RetryDelay = std::chrono::milliseconds(100);
 
 } // namespace
@@ -30,7 +36,6 @@
 {
     void storeChanging();
     void awaitReleases();
-    bool isReleasedByAll() const;
     void probeMembers();
     void continueByReports();
     Selection select() const;
@@ -39,12 +44,20 @@
     std::set<std::string> excludedMembers() const;
     const platform::MemberStatus *oldPrimaryStatus() const;
     void promote(const MemberReport &candidate);
-    void awaitTakeover(const MemberEntry &member);
+    void requestPromotion(const MemberReport &candidate, const Promotions &earlier,
+                          BootInstant provenAt);
+    void handlePromotionReply(const MemberReport &candidate, const Promotions &earlier,
+                              platform::PromotionReply answer);
+    void awaitTakeover(const MemberReport &candidate);
+    void handleFailedWrite(const RowError &error);
     void storeServing(const MemberEntry &member, uint64_t term);
     void demoteOldPrimary(uint64_t term) const;
     void finish(bool succeeded, const std::string &what);
     template <typename Task>
     void scheduleTask(Duration delay, Task task);
+    // Wraps a function of the state and a result. It isn't called after the change has ended.
+    template <typename Handler>
+    auto whileActive(Handler handler) const;
 
     std::weak_ptr<PrimaryChange> self;
     PrimaryChangeEnvironment environment;
@@ -57,9 +70,7 @@
     BootInstant probingSince{};
     BootInstant promotedAt{};
     int promotions = 0;
-    // The VMs that may still use the old primary, with their incarnations.
-    std::map<std::string, uint64_t> awaitedVms;
-    std::set<std::string> releasedBy;
+    PrimaryReleases releases;
     // The answers of the current round of probes.
     uint64_t probeRound = 0;
     size_t probesOutstanding = 0;
@@ -70,54 +81,61 @@
     std::set<std::string> refusedMembers;
     // The replicas of the group that were listed when this round of probes began.
     size_t listedReplicas = 0;
-    // A promotion was accepted, or its outcome is unknown.
-    bool mayHavePromoted = false;
+    // GroupRecord::promoted as it is stored. In `record`, promotions that had no effect are left
+    // out.
+    Promotions storedPromotions;
+    // SelectionInput::lastAccepted.
+    std::string lastAccepted;
     bool hasEnded = false;
 };
 
-template <typename Task>
-void PrimaryChange::State::scheduleTask(Duration delay, Task task)
+template <typename Handler>
+auto PrimaryChange::State::whileActive(Handler handler) const
 {
-    environment.schedule(delay, [weak = self, task] {
+    return [weak = self, handler](auto &&...results) {
         auto owner = weak.lock();
         if (owner && !owner->m_state->hasEnded) {
-            task(*owner->m_state);
+            handler(*owner->m_state, std::forward<decltype(results)>(results)...);
         }
-    });
+    };
+}
+
+template <typename Task>
+void PrimaryChange::State::scheduleTask(Duration delay, Task task)
+{
+    environment.schedule(delay, whileActive(task));
 }
 
 void PrimaryChange::State::storeChanging()
 {
     GroupRecord changing = nextRecord(record, environment.era, ownName);
     changing.phase = GroupPhase::Changing;
-    environment.store(changing, version, [weak = self, changing](RowResult<StoreVersion> result) {
-        auto owner = weak.lock();
-        if (!owner) {
-            return;
-        }
-        State &state = *owner->m_state;
-        if (!result) {
-            state.finish(false, "could not store the group's record: " + result.error().what);
-            return;
-        }
-        state.record = changing;
-        state.version = *result;
-        state.changingAt = bootNow();
-        state.awaitReleases();
-    });
+    changing.promoted = Promotions(std::in_place);
+    environment.store(
+        changing, version, whileActive([changing](State &state, RowResult<StoreVersion> result) {
+            if (!result) {
+                state.finish(false, "could not store the group's record: " + result.error().what);
+                return;
+            }
+            state.record = changing;
+            state.storedPromotions = changing.promoted;
+            state.version = *result;
+            state.changingAt = bootNow();
+            state.awaitReleases();
+        }));
 }
 
 void PrimaryChange::State::awaitReleases()
 {
     for (const VmRecord &it : environment.view()->vms) {
-        awaitedVms[it.name] = it.incarnation;
+        releases.awaitedVms[it.name] = it.incarnation;
     }
     environment.notify(record.group, record.epoch, record.isOrderly);
     scheduleTask(ReleaseCheckInterval, [](State &state) {
         const auto check = [](State &it, const auto &again) -> void {
             const bool hasExpired =
                 bootNow() - it.changingAt > PrimaryLeaseDuration + LeaseClockMargin;
-            if (it.isReleasedByAll() || hasExpired) {
+            if (isReleasedByAll(it.releases, it.environment.view()->vms) || hasExpired) {
                 logEvent("primary.given_up",
                          {{"group", it.record.group},
                           {"epoch", it.record.epoch},
@@ -133,21 +151,6 @@
     });
 }
 
-// A restarted VM has read the record since and holds no lease under an earlier epoch.
-bool PrimaryChange::State::isReleasedByAll() const
-{
-    const auto view = environment.view();
-    return std::all_of(awaitedVms.begin(), awaitedVms.end(), [&](const auto &awaitedVm) {
-        if (releasedBy.count(awaitedVm.first) != 0) {
-            return true;
-        }
-        const auto it = std::find_if(view->vms.begin(), view->vms.end(), [&](const VmRecord &vm) {
-            return vm.name == awaitedVm.first;
-        });
-        return it != view->vms.end() && it->incarnation != awaitedVm.second;
-    });
-}
-
 // Queries the status of all members of the group.
 void PrimaryChange::State::probeMembers()
 {
@@ -175,19 +178,17 @@
         return;
     }
     for (const MemberEntry &entry : probedMembers) {
-        environment.probe(entry, [weak = self, entry, ownRound,
-                                  awaited = isAwaited(entry)](const MemberProbe &probe) {
-            auto owner = weak.lock();
-            if (!owner || owner->m_state->hasEnded || owner->m_state->probeRound != ownRound) {
-                return;
-            }
-            State &state = *owner->m_state;
-            state.reports.push_back({entry, probe.isReachable, probe.status});
-            if (awaited && --state.probesOutstanding == 0) {
-                ++state.probeRound;
-                state.continueByReports();
-            }
-        });
+        environment.probe(entry, whileActive([entry, ownRound, awaited = isAwaited(entry)](
+                                                 State &state, const MemberProbe &probe) {
+                              if (state.probeRound != ownRound) {
+                                  return;
+                              }
+                              state.reports.push_back({entry, probe.isReachable, probe.status});
+                              if (awaited && --state.probesOutstanding == 0) {
+                                  ++state.probeRound;
+                                  state.continueByReports();
+                              }
+                          }));
     }
 }
 
@@ -201,7 +202,9 @@
         storeServing(selection.member->entry, selection.member->status->term);
         return;
     case SelectionStep::Promote:
-        if (const auto *old = oldPrimaryStatus()) {
+        // The old primary's own term, unless it was promoted again.
+        if (const auto *old = oldPrimaryStatus();
+            old != nullptr && record.promoted && record.promoted->empty()) {
             record.term = std::max(record.term, old->term);
         }
         promote(MemberReport(*selection.member));
@@ -224,8 +227,10 @@
     input.synchronousReplicas = synchronousReplicasOfGroup();
     input.excludedMembers = excludedMembers();
     input.hasCatchUpExpired = bootNow() - probingSince > CatchUpTimeout;
-    input.mayHavePromoted = mayHavePromoted;
-    input.arePromotionsSettled = bootNow() - std::max(probingSince, promotedAt) > TakeoverTimeout;
+    const Duration sinceLastPromotion = bootNow() - std::max(probingSince, promotedAt);
+    input.arePromotionsSettled = sinceLastPromotion > TakeoverTimeout;
+    input.hasPromotedWaitExpired = sinceLastPromotion > PromotedWait;
+    input.lastAccepted = lastAccepted;
     return selectPrimary(input);
 }
 
@@ -271,12 +276,42 @@
     return limits == nullptr ? 0 : limits->synchronousReplicas;
 }
 
+// Stores that the member's promotion may have been requested, then requests it. Whoever continues
+// the change knows of it then. The write also settles that the row is unchanged and the duty held.
 void PrimaryChange::State::promote(const MemberReport &candidate)
 {
     if (++promotions > MaxPromotions) {
         finish(false, "no promotion took effect after the maximum number of attempts");
         return;
     }
+    const Promotions earlier = record.promoted;
+    GroupRecord announced = record;
+    addPromotion(announced, candidate.entry.id);
+    if (announced.promoted == storedPromotions) {
+        record.promoted = announced.promoted;
+        requestPromotion(candidate, earlier, {});
+        return;
+    }
+    announced = nextRecord(announced, environment.era, ownName);
+    environment.store(announced, version,
+                      whileActive([announced, candidate, earlier, sentAt = bootNow()](
+                                      State &state, const RowResult<StoreVersion> &result) {
+                          if (!result) {
+                              state.handleFailedWrite(result.error());
+                              return;
+                          }
+                          state.record = announced;
+                          state.storedPromotions = announced.promoted;
+                          state.version = *result;
+                          state.requestPromotion(candidate, earlier, sentAt);
+                      }));
+}
+
+// `earlier` are the promotions that may have been requested without this one, and `provenAt` is
+// when the duty and the record's row were last proven.
+void PrimaryChange::State::requestPromotion(const MemberReport &candidate,
+                                            const Promotions &earlier, BootInstant provenAt)
+{
     const auto *old = oldPrimaryStatus();
     logEvent("primary.promote", {{"group", record.group},
                                  {"member", candidate.entry.id},
@@ -285,53 +320,60 @@
                                  {"position_term", candidate.status->position.term},
                                  {"position", candidate.status->position.position},
                                  {"old_position", old == nullptr ? 0 : old->position.position}});
+    lastAccepted.clear();
     environment.promote(
-        record.group, version, candidate.entry.id,
-        [weak = self, candidate](platform::PromotionReply answer, const std::string &what) {
-            auto owner = weak.lock();
-            if (!owner || owner->m_state->hasEnded) {
-                return;
-            }
-            State &state = *owner->m_state;
+        record.group, version, candidate.entry.id, provenAt,
+        whileActive([candidate, earlier](State &state, platform::PromotionReply answer,
+                                         const std::string &what) {
             logEvent("primary.promotion_answer", {{"group", state.record.group},
                                                   {"member", candidate.entry.id},
                                                   {"answer", static_cast<int>(answer)},
                                                   {"what", what}});
-            switch (answer) {
-            case platform::PromotionReply::Accepted:
-            case platform::PromotionReply::Unknown:
-                state.mayHavePromoted = true;
-                state.promotedAt = bootNow();
-                state.awaitTakeover(candidate.entry);
-                return;
-            case platform::PromotionReply::Refused:
-                state.refusedMembers.insert(candidate.entry.id);
-                break;
-            case platform::PromotionReply::NotDone:
-                break;
-            }
-            state.scheduleTask(RetryDelay, [](State &it) { it.probeMembers(); });
-        });
+            state.handlePromotionReply(candidate, earlier, answer);
+        }));
 }
 
-void PrimaryChange::State::awaitTakeover(const MemberEntry &member)
+void PrimaryChange::State::handlePromotionReply(const MemberReport &candidate,
+                                                const Promotions &earlier,
+                                                platform::PromotionReply answer)
 {
-    environment.probe(member, [weak = self, member](const MemberProbe &probe) {
-        auto owner = weak.lock();
-        if (!owner || owner->m_state->hasEnded) {
-            return;
-        }
-        State &state = *owner->m_state;
-        if (probe.status && probe.status->isPrimary && probe.status->term > state.record.term) {
-            state.storeServing(member, probe.status->term);
-            return;
-        }
-        if (bootNow() - state.promotedAt > TakeoverTimeout) {
-            state.probeMembers();
-            return;
-        }
-        state.scheduleTask(PollInterval, [member](State &it) { it.awaitTakeover(member); });
-    });
+    switch (answer) {
+    case platform::PromotionReply::Accepted:
+        lastAccepted = candidate.entry.id;
+        [[fallthrough]];
+    case platform::PromotionReply::Unknown:
+        promotedAt = bootNow();
+        awaitTakeover(candidate);
+        return;
+    case platform::PromotionReply::Refused:
+        refusedMembers.insert(candidate.entry.id);
+        record.promoted = earlier;
+        break;
+    case platform::PromotionReply::NotDone:
+        record.promoted = earlier;
+        break;
+    }
+    scheduleTask(RetryDelay, [](State &it) { it.probeMembers(); });
+}
+
+void PrimaryChange::State::awaitTakeover(const MemberReport &candidate)
+{
+    environment.probe(
+        candidate.entry, whileActive([candidate](State &state, const MemberProbe &probe) {
+            // A member that led before may go on in that term, although another one was promoted.
+            const uint64_t ledTerm = candidate.status->isPrimary ? candidate.status->term : 0;
+            if (probe.status && probe.status->isPrimary &&
+                probe.status->term > std::max(state.record.term, ledTerm)) {
+                state.storeServing(candidate.entry, probe.status->term);
+                return;
+            }
+            if (bootNow() - state.promotedAt > TakeoverTimeout) {
+                state.probeMembers();
+                return;
+            }
+            state.scheduleTask(PollInterval,
+                               [candidate](State &it) { it.awaitTakeover(candidate); });
+        }));
 }
 
 void PrimaryChange::State::storeServing(const MemberEntry &member, uint64_t term)
@@ -342,6 +384,7 @@
     serving.primaryStartedAtMs = member.startedAtMs;
     serving.term = term;
     serving.isOrderly = false;
+    serving.promoted.reset();
     environment.store(serving, version,
                       [weak = self, serving, old = record.primary](RowResult<StoreVersion> result) {
                           auto owner = weak.lock();
@@ -349,13 +392,8 @@
                               return;
                           }
                           State &state = *owner->m_state;
-                          if (!result && result.error().fault == RowFault::NotDone) {
-                              state.scheduleTask(RetryDelay, [](State &it) { it.probeMembers(); });
-                              return;
-                          }
                           if (!result) {
-                              state.finish(false, "could not store the group's record: " +
-                                                      result.error().what);
+                              state.handleFailedWrite(result.error());
                               return;
                           }
                           if (old != serving.primary) {
@@ -365,6 +403,16 @@
                       });
 }
 
+// After NotDone the members may answer otherwise by now.
+void PrimaryChange::State::handleFailedWrite(const RowError &error)
+{
+    if (error.fault == RowFault::NotDone) {
+        scheduleTask(RetryDelay, [](State &state) { state.probeMembers(); });
+        return;
+    }
+    finish(false, "could not store the group's record: " + error.what);
+}
+
 void PrimaryChange::State::demoteOldPrimary(uint64_t term) const
 {
     const auto view = environment.view();
@@ -394,6 +442,7 @@
 {
     m_state->environment = std::move(environment);
     m_state->record = std::move(record);
+    m_state->storedPromotions = m_state->record.promoted;
     m_state->version = version;
     m_state->ownName = std::move(ownName);
     m_state->onEnd = std::move(onEnd);
@@ -424,7 +473,7 @@
 void PrimaryChange::handleReleased(const std::string &vm, uint64_t epoch)
 {
     if (epoch >= m_state->record.epoch) {
-        m_state->releasedBy.insert(vm);
+        m_state->releases.releasedBy.insert(vm);
     }
 }
 
--- a/gentianplank/node/control/primary_change.h
+++ b/gentianplank/node/control/primary_change.h
@@ -4,11 +4,13 @@
 // 2. Wait until every VM has released the old primary, or its lease has expired.
 // 3. Select the replica with the newest position. While the old primary answers, wait a limited
 //    time for a replica that has everything the old primary has.
-// 4. Have the platform promote it.
-// 5. Wait until it is primary.
-// 6. Store a record in the serving phase.
+// 4. Store a record that lists it as promoted.
+// 5. Have the platform promote it.
+// 6. Wait until it is primary.
+// 7. Store a record in the serving phase.
 //
-// A change that another holder began is continued at step 2.
+// A change that another holder began is continued at step 2. The stored record tells which members
+// may have been promoted by then.
 #pragma once
 
 #include "gentianplank/node/control/member_probe.h"
@@ -39,10 +41,10 @@
     std::function<void(const GroupRecord &, const StoreVersion &version,
                        std::function<void(RowResult<StoreVersion>)>)>
         store;
-    // Promotes the member if a read just before proves that this VM holds the duty and that the
-    // group's row has `version`.
+    // Promotes the member if it was proven just before that this VM holds the duty and that the
+    // group's row has `version`: at `provenAt`, or else by a read.
     std::function<void(const std::string &group, const StoreVersion &version,
-                       const std::string &member,
+                       const std::string &member, BootInstant provenAt,
                        std::function<void(platform::PromotionReply, std::string)>)>
         promote;
 };
--- a/gentianplank/node/control/primary_selection.h
+++ b/gentianplank/node/control/primary_selection.h
@@ -40,10 +40,12 @@
     std::set<std::string> excludedMembers{};
     // The change doesn't wait longer for a replica that has everything the old primary has.
     bool hasCatchUpExpired = false;
-    // A promotion was accepted, or its outcome is unknown.
-    bool mayHavePromoted = false;
-    // Every promotion that was called has taken effect, or never will.
+    // Every promotion that was requested has taken effect, or never will.
     bool arePromotionsSettled = false;
+    // The change doesn't wait longer for members that may have been promoted and don't answer.
+    bool hasPromotedWaitExpired = false;
+    // The member whose promotion was accepted last; empty if there is none.
+    std::string lastAccepted{};
 };
 
 enum class SelectionStep {
@@ -71,6 +73,10 @@
 // Thread-safe.
 Selection selectPrimary(const SelectionInput &input);
 
+// Adds the member to those whose promotion may have been requested. Requests of the same member in
+// a row are listed once. Thread-safe.
+void addPromotion(GroupRecord &record, const std::string &member);
+
 // Returns the member's report, or null if there is none.
 const MemberReport *findReport(std::span<const MemberReport> reports, std::string_view member);
 
--- a/gentianplank/target/group_record.cc
+++ b/gentianplank/target/group_record.cc
@@ -17,6 +17,9 @@
     if (record.era) {
         json["era"] = *record.era;
     }
+    if (record.promoted) {
+        json["promoted"] = *record.promoted;
+    }
     return json.dump();
 }
 
@@ -36,6 +39,9 @@
         if (json.contains("era")) {
             record.era = json.at("era").get<uint64_t>();
         }
+        if (json.contains("promoted")) {
+            record.promoted = json.at("promoted").get<std::vector<std::string>>();
+        }
         return record;
     } catch (const nlohmann::json::exception &error) {
         return tl::make_unexpected(std::string(error.what()));
--- a/gentianplank/target/group_record.h
+++ b/gentianplank/target/group_record.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace gentianplank {
 
@@ -47,6 +48,10 @@
     // The store's era that the record was written in; empty in records of processes that don't know
     // eras.
     std::optional<uint64_t> era = std::nullopt;
+    // In the Changing phase: the members whose promotion may have been requested since the phase
+    // began, in the order of the requests. A member is listed before its promotion is requested.
+    // Empty if it may have been any member, as in records of processes that don't list them.
+    std::optional<std::vector<std::string>> promoted = std::nullopt;
 
     bool operator==(const GroupRecord &) const = default;
 };
--- a/gentianplank/target/group_record_test.cc
+++ b/gentianplank/target/group_record_test.cc
@@ -22,6 +22,18 @@
     BOOST_TEST((decodeGroupRecord(encodeGroupRecord(record)) == record));
 }
 
+BOOST_AUTO_TEST_CASE(promotedMembersOfRecordAreKeptIfItsWriterListsThem)
+{
+    GroupRecord record;
+    record.group = "g";
+    record.phase = GroupPhase::Changing;
+    BOOST_TEST(!decodeGroupRecord(encodeGroupRecord(record))->promoted);
+    record.promoted = std::vector<std::string>{};
+    BOOST_TEST((decodeGroupRecord(encodeGroupRecord(record)) == record));
+    record.promoted = std::vector<std::string>{"i-1", "i-2", "i-1"};
+    BOOST_TEST((decodeGroupRecord(encodeGroupRecord(record)) == record));
+}
+
 BOOST_AUTO_TEST_CASE(primaryIsUsableOnlyUnderAnUnexpiredLeaseInServingPhase)
 {
     const BootInstant provenAt(100s);
