Records of groups: a record that names a member that doesn't lead is corrected

Cause: nothing compared a group's record with what its members say.

Ruled out: READONLY answers as the signal; a deposed member that can't reach the new primary gives none, and acknowledges writes.

Change: if the members' entries claim another primary than the record for 0.5 s, the holder of the duty queries all members; if the recorded one doesn't lead, or a later term is known, twice in a row, it begins a change. The claims are kept by changed entry, so that groups in agreement cost nothing.

--- a/gentianplank/node/control/control.cc
+++ b/gentianplank/node/control/control.cc
@@ -32,6 +32,7 @@
     }
     for (const std::string &id : removedMembers) {
         missingSince.erase(id);
+        noteClaim(members[id].entry, false);
         members.erase(id);
         logEvent("member.gone", {{"member", id}});
         publication.schedule();
--- a/gentianplank/node/control/control_groups.cc
+++ b/gentianplank/node/control/control_groups.cc
@@ -24,6 +24,11 @@
 // A primary that is too busy to answer is asked again this often before it is replaced.
 constexpr Duration RecordCheckInterval = std::chrono::milliseconds(100);
 constexpr int MaxRecordChecks = 4;
+// How long the members' entries may differ from a group's record before the record is checked, how
+// often that is repeated, and how many checks in a row must refute it.
+constexpr Duration DisputeGrace = std::chrono::milliseconds(500);
+constexpr Duration DisputeCheckInterval = std::chrono::seconds(2);
+constexpr int MinRefutations = 2;
 // An unreachable old primary is told to step down repeatedly, for about as long as it may take to
 // come back.
 constexpr Duration DemoteRetryInterval = std::chrono::seconds(1);
@@ -44,7 +49,8 @@
 void Control::State::superviseGroup(const std::string &name, GroupState &group)
 {
     const BootInstant now = bootNow();
-    if (group.change || group.isConfirming || now < group.nextChangeAt || !knowsAllWrites(group)) {
+    if (group.change || group.isCheckingRecord || now < group.nextChangeAt ||
+        !knowsAllWrites(group)) {
         return;
     }
     if (group.record.epoch == 0) {
@@ -74,7 +80,9 @@
         beginChange(name, ChangeCause::Leaving,
                     member->second.entry.isLeaving ? "the primary is leaving"
                                                    : "the primary's zone is evacuated");
+        return;
     }
+    checkDisputedRecord(name);
 }
 
 bool Control::State::knowsAllWrites(const GroupState &group) const
@@ -128,6 +136,45 @@
                     "a change was announced in an earlier era of the store");
         return;
     }
+    checkRecordWithMembers(name);
+}
+
+void Control::State::noteClaim(const MemberEntry &entry, bool claimsPrimary)
+{
+    std::set<std::string> &claimants = groups[entry.group].claimants;
+    if (claimsPrimary) {
+        claimants.insert(entry.id);
+    } else {
+        claimants.erase(entry.id);
+    }
+}
+
+// Checks the record when the members' entries name another primary for longer than a change of
+// primary takes to be reported. The entries themselves may be outdated.
+void Control::State::checkDisputedRecord(const std::string &name)
+{
+    GroupState &group = groups[name];
+    const BootInstant now = bootNow();
+    const bool isDisputed =
+        group.claimants.size() != 1 || *group.claimants.begin() != group.record.primary;
+    if (!isDisputed) {
+        group.disputedSince = {};
+        return;
+    }
+    if (group.disputedSince == BootInstant{}) {
+        group.disputedSince = now;
+        group.refutations = 0;
+    }
+    const Duration interval = group.refutations == 0 ? DisputeCheckInterval : RecordCheckInterval;
+    if (now - group.disputedSince >= DisputeGrace && now - group.disputeCheckedAt >= interval) {
+        group.disputeCheckedAt = now;
+        checkRecordWithMembers(name);
+    }
+}
+
+void Control::State::checkRecordWithMembers(const std::string &name)
+{
+    GroupState &group = groups[name];
     std::vector<MemberEntry> probed;
     for (const auto &[id, member] : members) {
         if (member.entry.group == name) {
@@ -137,7 +184,7 @@
     if (probed.empty()) {
         return;
     }
-    group.isConfirming = true;
+    group.isCheckingRecord = true;
     const auto check = std::make_shared<RecordCheck>();
     check->outstanding = probed.size();
     for (const MemberEntry &entry : probed) {
@@ -155,11 +202,15 @@
 void Control::State::endRecordCheck(const std::string &name, const RecordCheck &check)
 {
     GroupState &group = groups[name];
-    group.isConfirming = false;
-    if (group.isConfirmed || group.change || !holdsDuty()) {
+    group.isCheckingRecord = false;
+    if (group.change || !holdsDuty()) {
         return;
     }
     const RecordVerdict verdict = checkRecord(group.record, check.answers);
+    if (group.isConfirmed) {
+        endDisputeCheck(name, verdict);
+        return;
+    }
     ++group.recordChecks;
     logEvent("group.record_check", {{"group", name},
                                     {"primary", group.record.primary},
@@ -176,6 +227,25 @@
     }
 }
 
+// Replaces a primary that doesn't lead. One answer alone doesn't suffice.
+void Control::State::endDisputeCheck(const std::string &name, RecordVerdict verdict)
+{
+    GroupState &group = groups[name];
+    group.refutations = verdict == RecordVerdict::Refuted ? group.refutations + 1 : 0;
+    logEvent("group.record_dispute", {{"group", name},
+                                      {"epoch", group.record.epoch},
+                                      {"primary", group.record.primary},
+                                      {"claimants", group.claimants.size()},
+                                      {"refutations", group.refutations},
+                                      {"verdict", toString(verdict)}});
+    const bool mayChange = group.record.phase == GroupPhase::Serving && knowsAllWrites(group);
+    if (group.refutations >= MinRefutations && mayChange) {
+        group.refutations = 0;
+        beginChange(name, ChangeCause::Other,
+                    "the primary doesn't lead, or a member knows of a later term");
+    }
+}
+
 void Control::State::storeConfirmedRecord(const std::string &name)
 {
     GroupState &group = groups[name];
--- a/gentianplank/node/control/control_state.h
+++ b/gentianplank/node/control/control_state.h
@@ -43,10 +43,16 @@
 struct GroupState : KnownGroup
 {
     std::shared_ptr<PrimaryChange> change;
-    // A check of a record of an earlier era of the store is under way, and how many ended without a
-    // verdict.
-    bool isConfirming = false;
+    // A check of the record with the members is under way; how many of a record of an earlier era
+    // ended without a verdict, and how many of a confirmed one refuted it in a row.
+    bool isCheckingRecord = false;
     int recordChecks = 0;
+    int refutations = 0;
+    // The members whose entries claim to be the primary, since when they differ from the record,
+    // and when the record was last checked for it.
+    std::set<std::string> claimants;
+    BootInstant disputedSince{};
+    BootInstant disputeCheckedAt{};
     BootInstant nextChangeAt{};
     // A write of the record by this VM may still be performed.
     bool isWriting = false;
@@ -160,7 +166,11 @@
     bool knowsAllWrites(const GroupState &group) const;
     void createRecord(const std::string &name);
     void confirmRecord(const std::string &name);
+    void noteClaim(const MemberEntry &entry, bool claimsPrimary);
+    void checkDisputedRecord(const std::string &name);
+    void checkRecordWithMembers(const std::string &name);
     void endRecordCheck(const std::string &name, const RecordCheck &check);
+    void endDisputeCheck(const std::string &name, RecordVerdict verdict);
     void storeConfirmedRecord(const std::string &name);
     void beginChange(const std::string &name, ChangeCause cause, const std::string &reason);
     void abandonChanges();
--- a/gentianplank/node/control/control_store.cc
+++ b/gentianplank/node/control/control_store.cc
@@ -296,6 +296,10 @@
                 known != members.end() && known->second.leavingSince != BootInstant{};
             member.leavingSince = wasLeaving ? known->second.leavingSince : now;
         }
+        if (known != members.end()) {
+            noteClaim(known->second.entry, false);
+        }
+        noteClaim(member.entry, member.entry.claimsPrimary);
         members[row.key] = member;
         logEvent("member.known", {{"member", entry->id},
                                   {"group", entry->group},
--- a/gentianplank/node/lost_answers_test.cc
+++ b/gentianplank/node/lost_answers_test.cc
@@ -29,22 +29,12 @@
 
     static constexpr auto PromotionTime = 1s;
 
-    static size_t indexOf(const std::string &member)
-    {
-        return static_cast<size_t>(member.back() - '0');
-    }
-
     std::string lastPromoted()
     {
         const std::lock_guard lock(mutex);
         return promoted.empty() ? "" : promoted.back();
     }
 
-    GroupRecord storedRecord() const
-    {
-        return *decodeGroupRecord(store.get(FleetTable, "group/g")->first);
-    }
-
     void makePrimaryLeave()
     {
         std::string document = group.discoveryDocument(0);
@@ -52,22 +42,6 @@
         store.put("servers", "g-0", document);
     }
 
-    // Whether a write is acknowledged within `timeout`.
-    static bool isWriteServed(const Vm &vm, const std::string &item, std::chrono::seconds timeout)
-    {
-        const auto end = std::chrono::steady_clock::now() + timeout;
-        for (int i = 0; std::chrono::steady_clock::now() < end; ++i) {
-            Caller caller(vm.callerAddress());
-            caller.firstLine("START main k1");
-            const std::string id = item + std::to_string(i);
-            if (caller.firstLine("QUERY " + id + " WRITE " + item + " 1").starts_with("DONE")) {
-                return true;
-            }
-            std::this_thread::sleep_for(20ms);
-        }
-        return false;
-    }
-
     std::mutex mutex;
     std::vector<std::string> promoted;
     std::vector<std::future<void>> promotions;
--- a/gentianplank/node/restored_store_test.cc
+++ b/gentianplank/node/restored_store_test.cc
@@ -46,26 +46,7 @@
         return isAnsweredSoon(vm, key, "ERROR NOAUTH");
     }
 
-    // Whether a write is served within `timeout`.
-    static bool isWriteServed(const Vm &vm, const std::string &item, std::chrono::seconds timeout)
-    {
-        const auto end = std::chrono::steady_clock::now() + timeout;
-        for (int i = 0; std::chrono::steady_clock::now() < end; ++i) {
-            Caller caller(vm.callerAddress());
-            caller.firstLine("START main k1");
-            const std::string id = item + std::to_string(i);
-            if (caller.firstLine("QUERY " + id + " WRITE " + item + " 1").starts_with("DONE")) {
-                return true;
-            }
-            std::this_thread::sleep_for(20ms);
-        }
-        return false;
-    }
-
-    std::string storedPrimary() const
-    {
-        return decodeGroupRecord(store.get(FleetTable, "group/g")->first)->primary;
-    }
+    std::string storedPrimary() const { return storedRecord().primary; }
 
     // Whether the stored record names the primary within the time for which VMs may go on using it.
     bool isStoredPrimarySoon(const std::string &member) const
@@ -77,7 +58,7 @@
         return storedPrimary() == member;
     }
 
-    void crashPrimary() { group.crash(static_cast<size_t>(storedPrimary().back() - '0')); }
+    void crashPrimary() { group.crash(indexOf(storedPrimary())); }
 };
 
 } // namespace
--- a/gentianplank/node/testing/entry_fixture.h
+++ b/gentianplank/node/testing/entry_fixture.h
@@ -189,6 +189,33 @@
         BOOST_FAIL("no service at " + address);
     }
 
+    // Whether a write is acknowledged within `timeout`.
+    static bool isWriteServed(const Vm &vm, const std::string &item, std::chrono::seconds timeout)
+    {
+        const auto end = std::chrono::steady_clock::now() + timeout;
+        for (int i = 0; std::chrono::steady_clock::now() < end; ++i) {
+            Caller caller(vm.callerAddress());
+            caller.firstLine("START main k1");
+            const std::string id = item + std::to_string(i);
+            if (caller.firstLine("QUERY " + id + " WRITE " + item + " 1").starts_with("DONE")) {
+                return true;
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+        return false;
+    }
+
+    static size_t indexOf(const std::string &member)
+    {
+        return static_cast<size_t>(member.back() - '0');
+    }
+
+    // The stored record of the group.
+    GroupRecord storedRecord() const
+    {
+        return *decodeGroupRecord(store.get(FleetTable, "group/g")->first);
+    }
+
     HttpTableStore store;
     LineProtocolGroup group;
     std::unique_ptr<Vm> first;
