Change of primary: every member that may lead an older term is demoted

Cause: only the recorded old primary was sent DEMOTE. A member that was promoted earlier in the same change and can't reach the new primary went on.

Ruled out: to rely on the members; one steps down by itself only a second after it can reach the new primary.

Change: the old primary and all members that the record lists as promoted are demoted, but for the new primary.

Measured: everyMemberThatMayLeadAnOlderTermIsDemoted failed with the old primary alone (q.5 missing) and passes.

--- a/gentianplank/node/control/primary_change.cc
+++ b/gentianplank/node/control/primary_change.cc
@@ -51,7 +51,7 @@
     void awaitTakeover(const MemberReport &candidate);
     void handleFailedWrite(const RowError &error);
     void storeServing(const MemberEntry &member, uint64_t term);
-    void demoteOldPrimary(uint64_t term) const;
+    void demoteOthers(const GroupRecord &serving) const;
     void finish(bool succeeded, const std::string &what);
     template <typename Task>
     void scheduleTask(Duration delay, Task task);
@@ -385,22 +385,19 @@
     serving.term = term;
     serving.isOrderly = false;
     serving.promoted.reset();
-    environment.store(serving, version,
-                      [weak = self, serving, old = record.primary](RowResult<StoreVersion> result) {
-                          auto owner = weak.lock();
-                          if (!owner) {
-                              return;
-                          }
-                          State &state = *owner->m_state;
-                          if (!result) {
-                              state.handleFailedWrite(result.error());
-                              return;
-                          }
-                          if (old != serving.primary) {
-                              state.demoteOldPrimary(serving.term);
-                          }
-                          state.finish(true, "the primary is " + serving.primary);
-                      });
+    environment.store(serving, version, [weak = self, serving](RowResult<StoreVersion> result) {
+        auto owner = weak.lock();
+        if (!owner) {
+            return;
+        }
+        State &state = *owner->m_state;
+        if (!result) {
+            state.handleFailedWrite(result.error());
+            return;
+        }
+        state.demoteOthers(serving);
+        state.finish(true, "the primary is " + serving.primary);
+    });
 }
 
 // After NotDone the members may answer otherwise by now.
@@ -413,12 +410,15 @@
     finish(false, "could not store the group's record: " + error.what);
 }
 
-void PrimaryChange::State::demoteOldPrimary(uint64_t term) const
+// Demotes every member that may lead an older term: the old primary, and those that may have been
+// promoted before the new one.
+void PrimaryChange::State::demoteOthers(const GroupRecord &serving) const
 {
-    const auto view = environment.view();
-    const auto it = view->members.find(record.primary);
-    if (it != view->members.end()) {
-        environment.demote(it->second.entry, term);
+    for (const auto &[id, member] : environment.view()->members) {
+        const bool mayLead = id == record.primary || mayHaveBeenPromoted(record, id);
+        if (member.entry.group == serving.group && id != serving.primary && mayLead) {
+            environment.demote(member.entry, serving.term);
+        }
     }
 }
 
--- a/gentianplank/node/control/primary_change_test.cc
+++ b/gentianplank/node/control/primary_change_test.cc
@@ -35,7 +35,7 @@
             tasks.push_back([probe, done] { done(probe); });
         };
         environment.demote = [this](const MemberEntry &member, uint64_t term) {
-            demoted = member.id + "." + std::to_string(term);
+            demoted.push_back(member.id + "." + std::to_string(term));
         };
         environment.notify = [this](const std::string &, uint64_t epoch, bool) {
             notifiedEpoch = epoch;
@@ -132,7 +132,7 @@
     GroupRecord continued;
     std::vector<GroupRecord> stored;
     std::vector<std::string> promoted;
-    std::string demoted;
+    std::vector<std::string> demoted;
     uint64_t notifiedEpoch = 0;
     StoreVersion rowVersion{1, 50};
     bool failsStores = false;
@@ -163,7 +163,7 @@
     BOOST_TEST(stored[2].primary == "s");
     BOOST_TEST(stored[2].epoch == 8U);
     BOOST_TEST(!stored[2].promoted);
-    BOOST_TEST(demoted == "p.4");
+    BOOST_TEST(demoted == std::vector<std::string>{"p.4"});
 }
 
 // Guards against a longer outage: after all VMs had failed to reach a primary, its replacement
@@ -286,6 +286,17 @@
     BOOST_TEST(stored[0].term == 5U);
 }
 
+// Guards against a member that goes on in an older term: only the recorded primary was demoted.
+BOOST_FIXTURE_TEST_CASE(everyMemberThatMayLeadAnOlderTermIsDemoted, Fixture)
+{
+    setStatus("q", true, 4, 100);
+    setStatus("s", true, 5, 100);
+    const auto change = continueChange(std::vector<std::string>{"q", "s"});
+    run();
+    BOOST_TEST((result == true));
+    BOOST_TEST((demoted == std::vector<std::string>{"p.5", "q.5"}));
+}
+
 // Guards against the adoption of a member before a later promotion takes effect: a record of an
 // older process doesn't tell which were requested.
 BOOST_FIXTURE_TEST_CASE(changeWithoutListedPromotionsWaitsForThem, Fixture)
--- a/gentianplank/node/control/primary_selection.cc
+++ b/gentianplank/node/control/primary_selection.cc
@@ -28,12 +28,6 @@
     return newest;
 }
 
-bool mayHaveBeenPromoted(const GroupRecord &record, std::string_view member)
-{
-    return !record.promoted || std::find(record.promoted->begin(), record.promoted->end(),
-                                         member) != record.promoted->end();
-}
-
 // Whether the promotion of the member was requested last, as far as the record tells.
 bool isLastRequested(const GroupRecord &record, std::string_view member)
 {
@@ -185,6 +179,12 @@
 
 } // namespace
 
+bool mayHaveBeenPromoted(const GroupRecord &record, std::string_view member)
+{
+    return !record.promoted || std::find(record.promoted->begin(), record.promoted->end(),
+                                         member) != record.promoted->end();
+}
+
 const MemberReport *findReport(std::span<const MemberReport> reports, std::string_view member)
 {
     const auto it = std::find_if(reports.begin(), reports.end(), [&](const MemberReport &report) {
--- a/gentianplank/node/control/primary_selection.h
+++ b/gentianplank/node/control/primary_selection.h
@@ -73,6 +73,9 @@
 // Thread-safe.
 Selection selectPrimary(const SelectionInput &input);
 
+// Whether the promotion of the member may have been requested in the record's change. Thread-safe.
+bool mayHaveBeenPromoted(const GroupRecord &record, std::string_view member);
+
 // Adds the member to those whose promotion may have been requested. Requests of the same member in
 // a row are listed once. Thread-safe.
 void addPromotion(GroupRecord &record, const std::string &member);
