Change of primary: a record of an earlier era may lack promotions

Cause: a change that replaces a record of an earlier era of the store began as if no member had been promoted, although a change had been announced whose record the copy lacks. With the replicas silent it kept the old primary.

Ruled out: to wait out the settle time before the record is checked; a change that was announced can have promoted a member seconds before the return.

Change: ChangeCause::Unconfirmed stores a changing record without a list of promotions, so that any member may have been promoted.

Measured: changeOfUnconfirmedRecordDoesNotKeepOldPrimary failed with the list of a usual change (p recorded after 1.5 s) and passes; restored_store_test passes.

--- a/gentianplank/node/control/control_groups.cc
+++ b/gentianplank/node/control/control_groups.cc
@@ -132,7 +132,7 @@
     case Confirmation::CheckLater:
         return;
     case Confirmation::Change:
-        beginChange(name, ChangeCause::Other,
+        beginChange(name, ChangeCause::Unconfirmed,
                     "a change was announced in an earlier era of the store");
         return;
     }
@@ -220,7 +220,7 @@
     if (verdict == RecordVerdict::Confirmed) {
         storeConfirmedRecord(name);
     } else if (verdict == RecordVerdict::Refuted || group.recordChecks >= MaxRecordChecks) {
-        beginChange(name, ChangeCause::Other,
+        beginChange(name, ChangeCause::Unconfirmed,
                     "the members don't confirm the primary of an earlier era of the store");
     } else {
         group.nextChangeAt = bootNow() + RecordCheckInterval;
--- a/gentianplank/node/control/primary_change.cc
+++ b/gentianplank/node/control/primary_change.cc
@@ -70,6 +70,8 @@
     BootInstant probingSince{};
     BootInstant promotedAt{};
     int promotions = 0;
+    // The record may lack promotions that were requested before the change.
+    bool mayLackPromotions = false;
     PrimaryReleases releases;
     // The answers of the current round of probes.
     uint64_t probeRound = 0;
@@ -110,7 +112,7 @@
 {
     GroupRecord changing = nextRecord(record, environment.era, ownName);
     changing.phase = GroupPhase::Changing;
-    changing.promoted = Promotions(std::in_place);
+    changing.promoted = mayLackPromotions ? Promotions() : Promotions(std::in_place);
     environment.store(
         changing, version, whileActive([changing](State &state, RowResult<StoreVersion> result) {
             if (!result) {
@@ -454,6 +456,7 @@
 {
     const bool isOrderly = cause == ChangeCause::Leaving;
     m_state->skipsOldPrimary = cause == ChangeCause::Unreachable;
+    m_state->mayLackPromotions = cause == ChangeCause::Unconfirmed;
     m_state->self = weak_from_this();
     m_state->begunAt = bootNow();
     logEvent("primary.change_begin", {{"group", m_state->record.group},
--- a/gentianplank/node/control/primary_change.h
+++ b/gentianplank/node/control/primary_change.h
@@ -56,6 +56,8 @@
     // VMs of all zones failed to reach it just now, so the change does not wait for its status
     // again.
     Unreachable,
+    // The record is of an earlier era of the store, so it may lack a promotion since.
+    Unconfirmed,
     // It is gone or was restarted, or an earlier change is unfinished.
     Other,
 };
--- a/gentianplank/node/control/primary_change_test.cc
+++ b/gentianplank/node/control/primary_change_test.cc
@@ -286,6 +286,26 @@
     BOOST_TEST(stored[0].term == 5U);
 }
 
+// Guards against writes at a deposed primary: the store came back from a copy without the record of
+// a change that had promoted a member, and the old primary was kept.
+BOOST_FIXTURE_TEST_CASE(changeOfUnconfirmedRecordDoesNotKeepOldPrimary, Fixture)
+{
+    statuses["q"].reset();
+    statuses["s"].reset();
+    const auto change = begin(ChangeCause::Unconfirmed);
+    change->handleReleased("vm-1", 6);
+    change->handleReleased("vm-2", 6);
+    runFor(2500ms);
+    BOOST_TEST(stored.size() == 1U);
+    BOOST_TEST(!stored.back().promoted);
+    setStatus("q", true, 4, 100);
+    setStatus("s", false, 4, 100);
+    runFor(1500ms);
+    BOOST_TEST((result == true));
+    BOOST_TEST(promoted.empty());
+    BOOST_TEST(stored.back().primary == "q");
+}
+
 // Guards against a member that goes on in an older term: only the recorded primary was demoted.
 BOOST_FIXTURE_TEST_CASE(everyMemberThatMayLeadAnOlderTermIsDemoted, Fixture)
 {
