Change of primary: a promoted member is adopted although the old term is unknown

Cause: waited 3 s for promotions to settle when a change was continued whose old primary had never reported its term, as the first one of a group whose primary is dark.

Ruled out: that the old primary is taken for a new one; it counts as leading a new term only if the record has its term, or its own promotion was accepted.

Change: the condition is left to leadsNewTerm(), which all callers pass.

Measured: promotedMemberIsAdoptedAlthoughOldTermIsUnknown failed before (await_primary) and passes.

--- a/gentianplank/node/control/primary_selection.cc
+++ b/gentianplank/node/control/primary_selection.cc
@@ -90,7 +90,7 @@
     }
     // Before a member is promoted, the earlier promotions are settled. If it was promoted once, it
     // can't lead because of an earlier one.
-    if (input.record.term != 0 && isLastRequested(input.record, primary) &&
+    if (isLastRequested(input.record, primary) &&
         std::count(promoted->begin(), promoted->end(), primary) == 1) {
         return true;
     }
--- a/gentianplank/node/control/primary_selection.h
+++ b/gentianplank/node/control/primary_selection.h
@@ -51,7 +51,8 @@
 enum class SelectionStep {
     // The member is the primary of the newest term that any member knows of: record it.
     Adopt,
-    // The primary of the newest term hasn't reported its status: query again shortly.
+    // A member may lead the newest term, or be about to, and hasn't reported it: query again
+    // shortly.
     AwaitPrimary,
     Promote,
     // No member can take over or may have been promoted, and the old primary still serves: record
@@ -70,7 +71,8 @@
     const MemberReport *member = nullptr;
 };
 
-// Thread-safe.
+// Decides what a change does after its members were queried. A promotion replaces no primary that
+// can't reach the new one, so several members may lead; only the newest term counts. Thread-safe.
 Selection selectPrimary(const SelectionInput &input);
 
 // Whether the promotion of the member may have been requested in the record's change. Thread-safe.
@@ -80,7 +82,7 @@
 // a row are listed once. Thread-safe.
 void addPromotion(GroupRecord &record, const std::string &member);
 
-// Returns the member's report, or null if there is none.
+// Returns the member's report, or null if there is none. Thread-safe.
 const MemberReport *findReport(std::span<const MemberReport> reports, std::string_view member);
 
 const char *toString(SelectionStep step);
--- a/gentianplank/node/control/primary_selection_test.cc
+++ b/gentianplank/node/control/primary_selection_test.cc
@@ -148,6 +148,20 @@
     BOOST_TEST(select() == "adopt s");
 }
 
+// Guards against a longer outage: the old primary was silent, so its term wasn't known.
+BOOST_FIXTURE_TEST_CASE(promotedMemberIsAdoptedAlthoughOldTermIsUnknown, Fixture)
+{
+    record.term = 0;
+    list({"q"});
+    report("q", true, 4);
+    report("s", false, 4);
+    BOOST_TEST(select() == "adopt q");
+    list({"p"});
+    reports.clear();
+    report("p", true, 3);
+    BOOST_TEST(select() == "await_primary");
+}
+
 // Guards against a group without a primary: the platform accepts the promotion of the present
 // primary, which goes on in its term.
 BOOST_FIXTURE_TEST_CASE(oldPrimaryIsAdoptedAfterItsPromotionIsSettled, Fixture)
