--- a/gentianplank/node/lost_answers_test.cc
+++ b/gentianplank/node/lost_answers_test.cc
@@ -19,6 +19,9 @@
         store.onPromotion([this](const std::string &, const std::string &member) {
             const std::lock_guard lock(mutex);
             promoted.push_back(member);
+            const auto listed = storedRecord().promoted;
+            isEveryPromotionListed =
+                isEveryPromotionListed && listed && !listed->empty() && listed->back() == member;
             promotions.push_back(std::async(std::launch::async, [this, index = indexOf(member)] {
                 std::this_thread::sleep_for(PromotionTime);
                 group.promote(index);
@@ -44,6 +47,8 @@
 
     std::mutex mutex;
     std::vector<std::string> promoted;
+    // The stored record listed each promotion before it was requested.
+    bool isEveryPromotionListed = true;
     std::vector<std::future<void>> promotions;
 };
 
@@ -78,6 +83,7 @@
         std::this_thread::sleep_for(20ms);
     }
     BOOST_TEST(isLost);
+    BOOST_TEST(isEveryPromotionListed);
     BOOST_TEST(isWriteServed(*first, "a", 2s));
     BOOST_TEST(isWriteServed(*second, "b", 2s));
 }
