Records of groups: a write is settled once the feed shows a later version of its row

Cause: the outcome was taken from the call's answer alone.

Ruled out: a shorter timeout; where the store is slow, no answer would come in time, and each attempt costs a call.

Change: an attempt ends when the feed shows a later version of the row: earlier attempts can't be performed then, and the row tells whether one was.

Measured, x86-64: writeWithLostAnswerIsSettledByFeed failed before, no new primary within 2 s of a promotion of 1 s, and passes; settled_write_test, restored_store_test and disputed_record_test pass.

--- a/gentianplank/node/control/control_groups.cc
+++ b/gentianplank/node/control/control_groups.cc
@@ -21,6 +21,8 @@
 constexpr Duration MinSuspicionInterval = std::chrono::milliseconds(200);
 // The delay before a failed change is begun again.
 constexpr Duration ChangeRetryDelay = std::chrono::milliseconds(300);
+// How often a write that isn't answered is looked for in the feed.
+constexpr Duration FeedCheckInterval = std::chrono::milliseconds(50);
 // A primary that is too busy to answer is asked again this often before it is replaced.
 constexpr Duration RecordCheckInterval = std::chrono::milliseconds(100);
 constexpr int MaxRecordChecks = 4;
@@ -294,20 +296,39 @@
             RowError{RowFault::ConditionFailed, "another VM holds the promotion duty", {}}));
         return;
     }
-    store.change(
-        groupRecordWrite(record, version, ownDuty), StoreTimeout,
-        [this, record, version, answered = std::move(answered)](RowResult<StoreVersion> result) {
-            groups[record.group].writtenAt = bootNow();
-            logEvent("group.record_write",
-                     {{"group", record.group},
-                      {"epoch", record.epoch},
-                      {"primary", record.primary},
-                      {"changing", record.phase == GroupPhase::Changing},
-                      {"expected_version", toString(version)},
-                      {"outcome", result ? "stored" : result.error().what},
-                      {"row_version", result ? toString(*result) : std::string()}});
-            answered(std::move(result));
-        });
+    // The feed may show the row before the answer comes, or without one. A later version of it
+    // means that no attempt is performed any more.
+    const auto isEnded = std::make_shared<bool>(false);
+    const auto end = [this, record, version, isEnded,
+                      answered = std::move(answered)](RowResult<StoreVersion> result) {
+        if (std::exchange(*isEnded, true)) {
+            return;
+        }
+        groups[record.group].writtenAt = bootNow();
+        logEvent("group.record_write",
+                 {{"group", record.group},
+                  {"epoch", record.epoch},
+                  {"primary", record.primary},
+                  {"changing", record.phase == GroupPhase::Changing},
+                  {"expected_version", toString(version)},
+                  {"outcome", result ? "stored" : result.error().what},
+                  {"row_version", result ? toString(*result) : std::string()}});
+        answered(std::move(result));
+    };
+    const auto checkFeed = [this, name = record.group, version, isEnded,
+                            end](const auto &again) -> void {
+        const GroupState &known = groups[name];
+        if (!*isEnded && known.version > version) {
+            const StoredRow row{FleetTable, std::string(GroupKeyPrefix) + name,
+                                encodeGroupRecord(known.record), known.version, false};
+            end(tl::make_unexpected(
+                RowError{RowFault::ConditionFailed, "the feed shows a later version", {row}}));
+        } else if (!*isEnded) {
+            schedule(FeedCheckInterval, [again] { again(again); });
+        }
+    };
+    store.change(groupRecordWrite(record, version, ownDuty), StoreTimeout, end);
+    schedule(FeedCheckInterval, [checkFeed] { checkFeed(checkFeed); });
 }
 
 void Control::State::beginChange(const std::string &name, ChangeCause cause,
--- a/gentianplank/node/control/settled_write.cc
+++ b/gentianplank/node/control/settled_write.cc
@@ -38,8 +38,7 @@
         const RowError &error = result.error();
         if (error.fault == RowFault::ConditionFailed) {
             const auto version = storedVersion(attempts->write, error);
-            attempts->done(attempts->isUnsettled && version ? RowResult<StoreVersion>(*version)
-                                                            : std::move(result));
+            attempts->done(version ? RowResult<StoreVersion>(*version) : std::move(result));
             return;
         }
         if (error.fault == RowFault::NotDone && !attempts->isUnsettled) {
--- a/gentianplank/node/lost_answers_test.cc
+++ b/gentianplank/node/lost_answers_test.cc
@@ -54,6 +54,26 @@
 
 } // namespace
 
+// Guards against a longer outage: each lost answer of a write that the feed already showed was
+// waited for, 1.5 s each.
+BOOST_FIXTURE_TEST_CASE(writeWithLostAnswerIsSettledByFeed, LostAnswersFixture)
+{
+    store.delayWrites([&](const std::string &key, const std::string &) {
+        return key == "group/g" ? std::optional<Duration>(0ms) : std::nullopt;
+    });
+    makePrimaryLeave();
+    const auto isReplaced = [&] {
+        const GroupRecord record = storedRecord();
+        return record.phase == GroupPhase::Serving && record.primary != "g-0";
+    };
+    const auto end = std::chrono::steady_clock::now() + PromotionTime + 1s;
+    while (!isReplaced() && std::chrono::steady_clock::now() < end) {
+        std::this_thread::sleep_for(20ms);
+    }
+    BOOST_TEST(isReplaced());
+    BOOST_TEST(isWriteServed(*first, "a", 1s));
+}
+
 // Guards against writes at a deposed primary: the record that named it was written after another
 // member had been promoted, since the answer to that write was lost and the next change did not
 // settle it.
