Settled writes: results are passed by reference

Ruled out: an uninitialised value; the error is read before, and the default build and ThreadSanitizer's compile it without a warning.

Change: results are copied, which costs a string for each attempt.

Measured: the file compiles under AddressSanitizer; settled_write_test passes under ThreadSanitizer.

--- a/gentianplank/node/control/settled_write.cc
+++ b/gentianplank/node/control/settled_write.cc
@@ -30,19 +30,22 @@
 
 void attempt(const std::shared_ptr<Attempts> &attempts)
 {
-    attempts->write.attempt([attempts](RowResult<StoreVersion> result) {
+    attempts->write.attempt([attempts](const RowResult<StoreVersion> &result) {
         if (result) {
-            attempts->done(std::move(result));
+            attempts->done(result);
             return;
         }
         const RowError &error = result.error();
         if (error.fault == RowFault::ConditionFailed) {
-            const auto version = storedVersion(attempts->write, error);
-            attempts->done(version ? RowResult<StoreVersion>(*version) : std::move(result));
+            if (const auto version = storedVersion(attempts->write, error)) {
+                attempts->done(*version);
+            } else {
+                attempts->done(result);
+            }
             return;
         }
         if (error.fault == RowFault::NotDone && !attempts->isUnsettled) {
-            attempts->done(std::move(result));
+            attempts->done(result);
             return;
         }
         attempts->isUnsettled = true;
